Free RPC connections in a safe order; measure heartbeats

Cause: a stopping server freed the network of an open connection before the RPC system that uses it and crashed; found while measuring heartbeats of many members. Before: the new test ends with a segmentation fault. After: it passes.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 lint: build
 	@scripts/lint.sh $(BUILD)
 
+# Measures the slopes behind docs/CAPACITY.md.
+capacity: build
+	@$(BUILD)/bin/ebonypin_capacity
+
 generate:
 	@scripts/generate.sh
 
--- a/packages/wire/src/rpc.cc
+++ b/packages/wire/src/rpc.cc
@@ -216,7 +216,9 @@
       auto system = kj::heap(
           capnp::makeRpcServer(*network, schema::Peer::Client(kj::heap<PeerServer>(*this))));
       auto closed = network->onDisconnect();
-      m_tasks->add(closed.attach(kj::mv(system), kj::mv(network), kj::mv(stream)));
+      // Chained attachments are destroyed in this order; the RPC system uses the network until its
+      // end.
+      m_tasks->add(closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream)));
       return Accept(listener);
     });
   }
--- a/packages/wire/tests/rpc_test.cc
+++ b/packages/wire/tests/rpc_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(UnansweredCallEndsAtItsDeadlineAndTheNextUsesANewConnection);
   CPPUNIT_TEST(CallToAClosedPortIsReportedAsNotSent);
   CPPUNIT_TEST(CallsBeyondTheLimitAreRefusedAsNotSent);
+  CPPUNIT_TEST(AServerStopsWhileAClientIsStillConnected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -104,6 +105,19 @@
     CPPUNIT_ASSERT(second.GetError()->m_kind == core::ErrorKind::kNoCapacity);
     first_done.get_future().get();
   }
+
+  /// Guards against a crash in the order in which a stopping server frees an open connection.
+  void AServerStopsWhileAClientIsStillConnected() {
+    Rpc client({});
+    for (int i = 0; i < 20; ++i) {
+      Rpc server({.m_listen_ip = "127.0.0.1",
+                  .m_handler = [](const core::Message&, const ReplyFunction& reply) {
+                    reply(core::CancelReply{});
+                  }});
+      CPPUNIT_ASSERT(CallAndWait(client, AddressOf(server), core::CancelRequest{}, 5s).GetError() ==
+                     nullptr);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RpcTest);
