Add numbered log events with a catalogue kept by a test

Cause: the daemon has no way to log, and free-text lines cannot be searched or alerted on. Change: events.h defines each event on one line with number, level and message; LogEvent writes it with key=value fields through spdlog to standard error; docs/events.md explains each number and a test compares both. Conclusion: other packages can add events in their number range.

--- /dev/null
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -0,0 +1,78 @@
+/// Numbered log events. Operators search and alert by number; docs/events.md explains each one.
+///
+/// To add an event, add one line to the constants below and one row to docs/events.md; a test keeps
+/// both the same. A number is never reused or given another meaning.
+///
+///     LogEvent(kProcessStarted, {{"role", "entry"}, {"rpc", "127.0.0.1:7101"}});
+///     // [2026-01-02 03:04:05.678] [info] E100 process started role=entry rpc=127.0.0.1:7101
+#pragma once
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ebonypin::daemon {
+
+/// Severity of an event. "error" asks for an operator, "warn" tells of a handled failure.
+enum class EventLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
+
+/// Kind of event: what happened, without the particulars, which are fields.
+struct Event {
+  std::uint32_t m_number = 0;
+  EventLevel m_level = EventLevel::kInfo;
+  std::string_view m_message;  ///< Fixed text; particulars go into fields.
+
+  friend bool operator==(const Event&, const Event&) = default;
+};
+
+/// Particular of one occurrence, written as key=value.
+struct EventField {
+  std::string m_key;
+  std::string m_value;
+
+  template <typename T>
+  EventField(const std::string_view key, const T& value)
+      : m_key(key), m_value(fmt::format("{}", value)) {}
+};
+
+/// Enters an event into AllEvents() and returns it.
+[[nodiscard]] Event DefineEvent(std::uint32_t number, EventLevel level, std::string_view message);
+
+// One event a line, so that changes merge.
+// clang-format off
+// 100 to 199: process.
+inline const Event kProcessStarted = DefineEvent(100, EventLevel::kInfo, "process started");
+inline const Event kDrainStarted = DefineEvent(101, EventLevel::kInfo, "drain started");
+inline const Event kProcessStopped = DefineEvent(102, EventLevel::kInfo, "process stopped");
+inline const Event kDrainTimedOut = DefineEvent(103, EventLevel::kWarn, "drain timed out with work in progress");
+inline const Event kStartFailed = DefineEvent(104, EventLevel::kError, "start failed");
+// 200 to 299: entry.
+// 300 to 399: agent.
+// 400 to 499: log service.
+// 500 to 599: membership.
+// 600 to 699: policy.
+// clang-format on
+
+/// Returns every defined event, ordered by number.
+[[nodiscard]] std::vector<Event> AllEvents();
+
+/// Returns the name of `level` as in docs/events.md: "debug", "info", "warn" or "error".
+[[nodiscard]] std::string_view EventLevelName(EventLevel level) noexcept;
+
+/// Returns the text of an event: "E<number> <message> key=value ...". Values that contain spaces,
+/// quotes, '=' or control characters are quoted and escaped, so that one event stays one line.
+[[nodiscard]] std::string FormatEvent(const Event& event,
+                                      std::initializer_list<EventField> fields = {});
+
+/// Writes an event to the default spdlog logger at the event's level.
+void LogEvent(const Event& event, std::initializer_list<EventField> fields = {});
+
+/// Sends events of at least `level` ("debug", "info", "warn", "error") to standard error. An
+/// unknown level is treated as "info".
+void ConfigureLogging(std::string_view level);
+
+}  // namespace ebonypin::daemon
--- /dev/null
+++ b/packages/daemon/src/events.cc
@@ -0,0 +1,110 @@
+#include "ebonypin/daemon/events.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace ebonypin::daemon {
+namespace {
+
+std::vector<Event>& Registry() {
+  static std::vector<Event> registry;
+  return registry;
+}
+
+spdlog::level::level_enum ToSpdlog(const EventLevel level) noexcept {
+  switch (level) {
+    case EventLevel::kDebug:
+      return spdlog::level::debug;
+    case EventLevel::kInfo:
+      return spdlog::level::info;
+    case EventLevel::kWarn:
+      return spdlog::level::warn;
+    case EventLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+bool NeedsQuotes(const std::string& value) {
+  return value.empty() || std::any_of(value.begin(), value.end(), [](const unsigned char c) {
+           return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f;
+         });
+}
+
+std::string Quoted(const std::string& value) {
+  std::string quoted = "\"";
+  for (const unsigned char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += static_cast<char>(c);
+    } else if (c < ' ' || c == 0x7f) {
+      quoted += fmt::format("\\x{:02x}", c);
+    } else {
+      quoted += static_cast<char>(c);
+    }
+  }
+  return quoted + '"';
+}
+
+}  // namespace
+
+Event DefineEvent(const std::uint32_t number, const EventLevel level,
+                  const std::string_view message) {
+  const Event event{.m_number = number, .m_level = level, .m_message = message};
+  Registry().push_back(event);
+  return event;
+}
+
+std::vector<Event> AllEvents() {
+  auto events = Registry();
+  std::stable_sort(events.begin(), events.end(),
+                   [](const Event& a, const Event& b) { return a.m_number < b.m_number; });
+  return events;
+}
+
+std::string_view EventLevelName(const EventLevel level) noexcept {
+  switch (level) {
+    case EventLevel::kDebug:
+      return "debug";
+    case EventLevel::kInfo:
+      return "info";
+    case EventLevel::kWarn:
+      return "warn";
+    case EventLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+std::string FormatEvent(const Event& event, const std::initializer_list<EventField> fields) {
+  std::string text = fmt::format("E{} {}", event.m_number, event.m_message);
+  for (const auto& field : fields) {
+    fmt::format_to(std::back_inserter(text), " {}={}", field.m_key,
+                   NeedsQuotes(field.m_value) ? Quoted(field.m_value) : field.m_value);
+  }
+  return text;
+}
+
+void LogEvent(const Event& event, const std::initializer_list<EventField> fields) {
+  const auto level = ToSpdlog(event.m_level);
+  if (!spdlog::should_log(level)) return;
+  spdlog::log(level, "{}", FormatEvent(event, fields));
+}
+
+void ConfigureLogging(const std::string_view level) {
+  auto minimum = spdlog::level::info;
+  for (const auto candidate :
+       {EventLevel::kDebug, EventLevel::kInfo, EventLevel::kWarn, EventLevel::kError}) {
+    if (EventLevelName(candidate) == level) minimum = ToSpdlog(candidate);
+  }
+  auto logger = std::make_shared<spdlog::logger>("ebonypin",
+                                                 std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  logger->set_pattern("[%Y-%m-%d %H:%M:%S.%e] [%l] %v");
+  logger->set_level(minimum);
+  spdlog::set_default_logger(std::move(logger));
+}
+
+}  // namespace ebonypin::daemon
