--- a/cmake/ebonypin.cmake
+++ b/cmake/ebonypin.cmake
@@ -19,6 +19,7 @@
   if(tests)
     add_executable(${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/testing/src/test_main.cc)
     target_include_directories(${name}_tests PRIVATE src tests)
+    target_compile_definitions(${name}_tests PRIVATE EBONYPIN_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${name}_tests PRIVATE ebonypin_${name} PkgConfig::CPPUNIT rapidcheck)
     add_test(NAME ${name}_tests COMMAND ${name}_tests)
     # A fixed seed gives the same verdict in every run; other seeds: RC_PARAMS="seed=N" bin/${name}_tests.
