Add sanitizer targets

Cause: memory and thread faults in the RPC code show only under instrumentation. Change: 'make asan' (AddressSanitizer with UndefinedBehaviorSanitizer) and 'make tsan' build and run every test. Before: not run.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ROUNDS ?= 200
 SECONDS ?= 20
 
-.PHONY: deps build test demo bench faults chaos capacity latency format lint generate clean
+.PHONY: deps build test asan tsan sanitize demo bench faults chaos capacity latency format lint generate clean
 
 deps:
 	@scripts/deps.sh
@@ -35,6 +35,19 @@
 capacity: build
 	@$(BUILD)/bin/ebonypin_capacity
 
+# Runs every test under AddressSanitizer with UndefinedBehaviorSanitizer, or under ThreadSanitizer.
+asan:
+	@$(MAKE) sanitize SANITIZE=address,undefined SANITIZE_BUILD=build-asan
+
+tsan:
+	@$(MAKE) sanitize SANITIZE=thread SANITIZE_BUILD=build-tsan
+
+sanitize: deps
+	@mkdir -p $(SANITIZE_BUILD)
+	@cmake -S . -B $(SANITIZE_BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DEBONYPIN_SANITIZE=$(SANITIZE) > $(SANITIZE_BUILD)/cmake.log 2>&1 || (cat $(SANITIZE_BUILD)/cmake.log; exit 1)
+	@cmake --build $(SANITIZE_BUILD) -j $(JOBS)
+	@TSAN_OPTIONS=halt_on_error=1:suppressions=$(CURDIR)/testing/tsan.supp UBSAN_OPTIONS=halt_on_error=1 ctest --test-dir $(SANITIZE_BUILD) --output-on-failure -j 2 --timeout 600
+
 generate:
 	@scripts/generate.sh
 
