--- /dev/null
+++ b/packages/core/src/dispatch.cc
@@ -0,0 +1,362 @@
+#include "ebonypin/core/dispatch.h"
+
+#include <algorithm>
+
+namespace ebonypin::core {
+namespace {
+
+using std::chrono_literals::operator""s;
+
+/// Samples of a class's latency before its requests are hedged.
+constexpr std::uint64_t kMinHedgeSamples = 20;
+constexpr double kLatencyGain = 0.05;
+/// Mean plus this many absolute deviations is about the 95th percentile of a skewed distribution.
+constexpr double kHedgeDeviations = 4.0;
+
+struct Step {
+  DispatchState& m_state;
+  const DispatchContext& m_context;
+  DispatchActions m_actions{};
+};
+
+void SetWake(Step& step, const Ticket ticket, DispatchRequest& request) {
+  Time wake = request.m_deadline;
+  if (request.m_retry_at) wake = std::min(wake, *request.m_retry_at);
+  if (request.m_hedge_at) wake = std::min(wake, *request.m_hedge_at);
+  if (wake == request.m_wake) return;
+  step.m_state.m_wakes.erase({request.m_wake, ticket});
+  request.m_wake = wake;
+  step.m_state.m_wakes.insert({wake, ticket});
+}
+
+/// Asks for a tick at the earliest wake unless one is already due by then.
+DispatchActions Finish(Step& step) {
+  DispatchState& state = step.m_state;
+  if (!state.m_wakes.empty()) {
+    const Time first = state.m_wakes.begin()->first;
+    if (!state.m_next_tick || *state.m_next_tick > first) {
+      state.m_next_tick = first;
+      step.m_actions.emplace_back(ScheduleTick{.m_at = first});
+    }
+  }
+  return std::move(step.m_actions);
+}
+
+/// Answers the caller, cancels the tries that still run elsewhere and forgets the request.
+void Answering(Step& step, const Ticket ticket, Answer answer,
+               const std::uint64_t answered_try = 0) {
+  const auto found = step.m_state.m_requests.find(ticket);
+  DispatchRequest& request = found->second;
+  answer.m_request = request.m_request.m_id;
+  for (const DispatchTry& other : request.m_tries) {
+    step.m_state.m_tries.erase(other.m_try);
+    if (!other.m_open) continue;
+    CountEnded(step.m_context.m_fleet, other.m_agent, other.m_incarnation);
+    if (other.m_try == answered_try) continue;
+    step.m_actions.emplace_back(SendCancel{.m_agent = other.m_agent,
+                                           .m_rpc_address = other.m_rpc_address,
+                                           .m_cancel = {.m_request = request.m_request.m_id}});
+  }
+  step.m_actions.emplace_back(AnswerCaller{.m_ticket = ticket, .m_answer = std::move(answer)});
+  step.m_state.m_wakes.erase({request.m_wake, ticket});
+  step.m_state.m_requests.erase(found);
+}
+
+/// Gives up: "not run" only when no try can have run.
+void GiveUp(Step& step, const Ticket ticket, Error error) {
+  const bool may_have_run = !step.m_state.m_requests.at(ticket).m_tries.empty();
+  Answering(step, ticket,
+            {.m_kind = may_have_run ? AnswerKind::kUnknown : AnswerKind::kNotRun,
+             .m_error = std::move(error)});
+}
+
+/// Returns the latest start that still meets the target and the deadline.
+Duration StartWithin(const DispatchRequest& request, const Time now) {
+  const Duration elapsed = std::chrono::duration_cast<Duration>(now - request.m_arrived);
+  Duration left = std::chrono::duration_cast<Duration>(request.m_deadline - now);
+  const Target& target = request.m_target;
+  if (target.m_start_within) left = std::min(left, *target.m_start_within - elapsed);
+  if (target.m_finish_within) left = std::min(left, *target.m_finish_within - elapsed);
+  return std::max(left, Duration{0});
+}
+
+/// Returns false, with the reason, when no agent can be tried now.
+bool SendTry(Step& step, const Ticket ticket, DispatchRequest& request, Error& error) {
+  const DispatchContext& context = step.m_context;
+  const Placement placement =
+      PlaceWork(context.m_fleet, context.m_options.m_placement,
+                {.m_size = request.m_request.m_size, .m_avoid = request.m_tried}, context.m_random);
+  if (!placement.m_agent) {
+    error = placement.m_error;
+    return false;
+  }
+  const AgentView& agent = context.m_fleet.m_agents[*placement.m_agent];
+  const std::uint64_t number = ++step.m_state.m_last_try;
+  const Duration left = std::chrono::duration_cast<Duration>(request.m_deadline - context.m_now);
+  request.m_tries.push_back({.m_try = number,
+                             .m_agent = agent.m_agent,
+                             .m_incarnation = agent.m_incarnation,
+                             .m_rpc_address = agent.m_rpc_address,
+                             .m_sent = context.m_now});
+  request.m_tried.push_back(agent.m_agent);
+  ++request.m_tries_started;
+  step.m_state.m_tries.emplace(number, ticket);
+  ++step.m_state.m_counters.m_tries;
+  step.m_actions.emplace_back(
+      SendRun{.m_agent = agent.m_agent,
+              .m_rpc_address = agent.m_rpc_address,
+              .m_run = {.m_request = request.m_request.m_id,
+                        .m_try = number,
+                        .m_incarnation = agent.m_incarnation,
+                        .m_class = request.m_request.m_class,
+                        .m_size = request.m_request.m_size,
+                        .m_expected_run = request.m_request.m_declared_run,
+                        .m_start_within = StartWithin(request, context.m_now),
+                        .m_time_left = left,
+                        .m_payload = request.m_request.m_payload},
+              .m_timeout = left});
+  CountSent(context.m_fleet, *placement.m_agent, request.m_request.m_size);
+  const DispatchClass& memory = step.m_state.m_classes[request.m_request.m_class];
+  request.m_hedge_at.reset();
+  if (context.m_options.m_hedge && request.m_idempotent && !request.m_hedged &&
+      memory.m_samples >= kMinHedgeSamples) {
+    const Duration wait{
+        static_cast<std::int64_t>(memory.m_latency_us + kHedgeDeviations * memory.m_deviation_us)};
+    request.m_hedge_at = context.m_now + std::max(wait, context.m_options.m_min_hedge_wait);
+  }
+  return true;
+}
+
+/// Schedules another try after a backoff, or gives up when there is none left.
+void RetryOrGiveUp(Step& step, const Ticket ticket, DispatchRequest& request) {
+  const DispatchContext& context = step.m_context;
+  if (request.m_tries_started >= context.m_options.m_max_tries) {
+    GiveUp(step, ticket, request.m_last_error);
+    return;
+  }
+  const Duration wait =
+      BackoffBefore(request.m_tries_started, context.m_options.m_backoff, context.m_random);
+  if (context.m_now + wait >= request.m_deadline) {
+    GiveUp(step, ticket, request.m_last_error);
+    return;
+  }
+  ++step.m_state.m_counters.m_retries;
+  request.m_retry_at = context.m_now + wait;
+  SetWake(step, ticket, request);
+}
+
+/// Returns whether another agent may accept what this one refused.
+bool IsWorthAnotherAgent(const ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kInvalidRequest:
+    case ErrorKind::kUnknownClass:
+    case ErrorKind::kTooLarge:
+    case ErrorKind::kBadMessage:
+    case ErrorKind::kQuotaExceeded:
+      return false;
+    default:
+      return true;
+  }
+}
+
+bool HasOpenTry(const DispatchRequest& request) {
+  return std::any_of(request.m_tries.begin(), request.m_tries.end(),
+                     [](const DispatchTry& one) { return one.m_open; });
+}
+
+/// A try has not run: it is forgotten, and another agent may be tried.
+void AfterNotRun(Step& step, const Ticket ticket, const std::uint64_t number, Error error) {
+  DispatchRequest& request = step.m_state.m_requests.at(ticket);
+  std::erase_if(request.m_tries, [number](const DispatchTry& one) { return one.m_try == number; });
+  step.m_state.m_tries.erase(number);
+  request.m_last_error = std::move(error);
+  if (HasOpenTry(request) || request.m_retry_at) return;
+  if (!IsWorthAnotherAgent(request.m_last_error.m_kind)) {
+    GiveUp(step, ticket, request.m_last_error);
+    return;
+  }
+  RetryOrGiveUp(step, ticket, request);
+}
+
+/// A try may have run: only idempotent work within its budget is tried again.
+void AfterUnknown(Step& step, const Ticket ticket, Error error) {
+  DispatchRequest& request = step.m_state.m_requests.at(ticket);
+  request.m_last_error = std::move(error);
+  if (HasOpenTry(request) || request.m_retry_at) return;
+  DispatchClass& memory = step.m_state.m_classes[request.m_request.m_class];
+  if (!request.m_idempotent || !TakeTry(memory.m_retries, step.m_context.m_options.m_retries)) {
+    GiveUp(step, ticket, request.m_last_error);
+    return;
+  }
+  RetryOrGiveUp(step, ticket, request);
+}
+
+void LearnLatency(DispatchClass& memory, const Duration latency) {
+  const auto sample = static_cast<double>(latency.count());
+  ++memory.m_samples;
+  const double gain = std::max(kLatencyGain, 1.0 / static_cast<double>(memory.m_samples));
+  memory.m_deviation_us += gain * (std::abs(sample - memory.m_latency_us) - memory.m_deviation_us);
+  memory.m_latency_us += gain * (sample - memory.m_latency_us);
+}
+
+void Hedge(Step& step, const Ticket ticket, DispatchRequest& request) {
+  request.m_hedge_at.reset();
+  DispatchClass& memory = step.m_state.m_classes[request.m_request.m_class];
+  if (request.m_tries_started >= step.m_context.m_options.m_max_tries ||
+      !TakeTry(memory.m_hedges, step.m_context.m_options.m_hedges)) {
+    return;
+  }
+  request.m_hedged = true;
+  Error ignored;
+  if (SendTry(step, ticket, request, ignored)) ++step.m_state.m_counters.m_hedges;
+}
+
+void Retry(Step& step, const Ticket ticket, DispatchRequest& request) {
+  request.m_retry_at.reset();
+  Error error;
+  if (!SendTry(step, ticket, request, error)) {
+    // The refusal of an agent says more than the absence of a further one.
+    GiveUp(step, ticket, request.m_tried.empty() ? error : request.m_last_error);
+  }
+}
+
+}  // namespace
+
+DispatchActions OnRequest(DispatchState& state, const DispatchContext& context, const Ticket ticket,
+                          const WorkRequest& request, const ClassSpec& spec) {
+  Step step{.m_state = state, .m_context = context};
+  const Duration deadline = request.m_deadline.value_or(context.m_options.m_default_deadline);
+  auto& pending = state.m_requests[ticket];
+  pending = {.m_request = request,
+             .m_target = spec.m_target,
+             .m_idempotent = !spec.m_non_idempotent && !request.m_non_idempotent,
+             .m_arrived = context.m_now,
+             .m_deadline = context.m_now + deadline};
+  CreditTry(state.m_classes[request.m_class].m_retries, context.m_options.m_retries);
+  CreditTry(state.m_classes[request.m_class].m_hedges, context.m_options.m_hedges);
+  Error error;
+  if (deadline <= Duration{0}) {
+    GiveUp(step, ticket,
+           {.m_kind = ErrorKind::kDeadlineTooShort,
+            .m_message = "the deadline has passed; send a larger deadline_ms"});
+  } else if (!SendTry(step, ticket, pending, error)) {
+    GiveUp(step, ticket, std::move(error));
+  } else {
+    SetWake(step, ticket, pending);
+  }
+  return Finish(step);
+}
+
+DispatchActions OnRunReply(DispatchState& state, const DispatchContext& context,
+                           const AgentId& agent, const RunReply& reply) {
+  Step step{.m_state = state, .m_context = context};
+  ObserveLoad(context.m_fleet, agent, reply.m_load, context.m_now);
+  const auto found = state.m_tries.find(reply.m_try);
+  if (found == state.m_tries.end()) {
+    ++state.m_counters.m_late_replies;
+    return Finish(step);
+  }
+  const Ticket ticket = found->second;
+  DispatchRequest& request = state.m_requests.at(ticket);
+  const auto current =
+      std::find_if(request.m_tries.begin(), request.m_tries.end(),
+                   [&reply](const DispatchTry& one) { return one.m_try == reply.m_try; });
+  if (reply.m_request != request.m_request.m_id || current->m_agent != agent) {
+    ++state.m_counters.m_damaged_replies;
+    return Finish(step);
+  }
+  const bool was_open = current->m_open;
+  if (!was_open) ++state.m_counters.m_late_replies;
+  if (reply.m_kind == AnswerKind::kDone) {
+    if (StableHash(reply.m_result) == reply.m_result_hash) {
+      if (was_open && request.m_tries_started == 1) {
+        LearnLatency(state.m_classes[request.m_request.m_class],
+                     std::chrono::duration_cast<Duration>(context.m_now - current->m_sent));
+      }
+      Answering(step, ticket, {.m_kind = AnswerKind::kDone, .m_result = reply.m_result},
+                reply.m_try);
+      return Finish(step);
+    }
+    ++state.m_counters.m_damaged_replies;
+  }
+  if (was_open) CountEnded(context.m_fleet, agent, current->m_incarnation);
+  current->m_open = false;
+  if (reply.m_kind == AnswerKind::kNotRun) {
+    AfterNotRun(step, ticket, reply.m_try, reply.m_error);
+  } else if (reply.m_kind == AnswerKind::kDone) {
+    AfterUnknown(step, ticket,
+                 {.m_kind = ErrorKind::kBadMessage,
+                  .m_message = "the result was damaged on the way; send idempotent work again"});
+  } else {
+    AfterUnknown(step, ticket, reply.m_error);
+  }
+  return Finish(step);
+}
+
+DispatchActions OnCallFailed(DispatchState& state, const DispatchContext& context,
+                             const std::uint64_t failed_try, const CallFailure failure) {
+  Step step{.m_state = state, .m_context = context};
+  const auto found = state.m_tries.find(failed_try);
+  if (found == state.m_tries.end()) return Finish(step);
+  const Ticket ticket = found->second;
+  DispatchRequest& request = state.m_requests.at(ticket);
+  const auto current =
+      std::find_if(request.m_tries.begin(), request.m_tries.end(),
+                   [failed_try](const DispatchTry& one) { return one.m_try == failed_try; });
+  if (!current->m_open) return Finish(step);
+  current->m_open = false;
+  CountEnded(context.m_fleet, current->m_agent, current->m_incarnation);
+  if (failure == CallFailure::kNotSent) {
+    SuspectAgent(context.m_fleet, current->m_agent);
+    AfterNotRun(step, ticket, failed_try,
+                {.m_kind = ErrorKind::kNoCapacity,
+                 .m_message = "the worker could not be reached; retry in a second",
+                 .m_retry_after = 1s});
+  } else if (failure == CallFailure::kDisconnected) {
+    SuspectAgent(context.m_fleet, current->m_agent);
+    AfterUnknown(step, ticket,
+                 {.m_kind = ErrorKind::kDisconnected,
+                  .m_message = "the connection to the worker was lost and the work may have run; "
+                               "send idempotent work again"});
+  } else {
+    AfterUnknown(step, ticket,
+                 {.m_kind = ErrorKind::kTimeout,
+                  .m_message = "the worker did not answer in time and the work may have run; "
+                               "send idempotent work again"});
+  }
+  return Finish(step);
+}
+
+DispatchActions OnTick(DispatchState& state, const DispatchContext& context) {
+  Step step{.m_state = state, .m_context = context};
+  state.m_next_tick.reset();
+  while (!state.m_wakes.empty() && state.m_wakes.begin()->first <= context.m_now) {
+    const Ticket ticket = state.m_wakes.begin()->second;
+    DispatchRequest& request = state.m_requests.at(ticket);
+    if (request.m_deadline <= context.m_now) {
+      GiveUp(step, ticket,
+             {.m_kind = ErrorKind::kTimeout,
+              .m_message = "no answer within the deadline; send a larger deadline_ms"});
+      continue;
+    }
+    if (request.m_retry_at && *request.m_retry_at <= context.m_now) {
+      Retry(step, ticket, request);
+      if (!state.m_requests.contains(ticket)) continue;
+    }
+    if (request.m_hedge_at && *request.m_hedge_at <= context.m_now) Hedge(step, ticket, request);
+    SetWake(step, ticket, request);
+  }
+  return Finish(step);
+}
+
+DispatchActions OnCancel(DispatchState& state, const DispatchContext& context,
+                         const Ticket ticket) {
+  Step step{.m_state = state, .m_context = context};
+  if (state.m_requests.contains(ticket)) {
+    GiveUp(step, ticket,
+           {.m_kind = ErrorKind::kCancelled, .m_message = "the caller cancelled the request"});
+  }
+  return Finish(step);
+}
+
+}  // namespace ebonypin::core
--- /dev/null
+++ b/packages/core/src/slot_plan.cc
@@ -0,0 +1,93 @@
+#include "ebonypin/core/slot_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ebonypin::core {
+namespace {
+
+/// Returns the demand expected once slots decided on now could be taken back.
+double PredictDemand(SlotPlanState& state, const SlotPlanOptions& options,
+                     const SlotPlanInput& input) {
+  const double demand = input.m_short_busy + input.m_short_queued;
+  auto& samples = state.m_samples;
+  std::erase_if(samples, [&](const DemandSample& sample) {
+    return input.m_now - sample.m_at > options.m_slope_span;
+  });
+  double slope = 0.0;
+  if (!samples.empty() && input.m_now > samples.front().m_at) {
+    slope = (demand - samples.front().m_demand) /
+            static_cast<double>((input.m_now - samples.front().m_at).count());
+  }
+  samples.push_back({.m_at = input.m_now, .m_demand = demand});
+  return demand + std::max(0.0, slope) * static_cast<double>(options.m_reclaim.count());
+}
+
+void UpdateLimit(SlotPlanState& state, const SlotPlanOptions& options, const SlotPlanInput& input) {
+  const double predicted = PredictDemand(state, options, input);
+  // At least one slot is kept: a first request finds no demand to be predicted from.
+  const double spare = std::max(1.0, options.m_spare_factor * std::sqrt(predicted));
+  const double kept = std::ceil(predicted + spare);
+  std::uint32_t allowed =
+      kept >= input.m_slots ? 0 : input.m_slots - static_cast<std::uint32_t>(kept);
+  if (input.m_short_target_missed) allowed = std::min(allowed, state.m_limit / 2);
+  if (allowed < state.m_limit) {
+    state.m_limit = allowed;
+    state.m_reduced_at = input.m_now;
+  } else if (allowed > state.m_limit && input.m_now - state.m_reduced_at >= options.m_hold &&
+             input.m_now - state.m_grown_at >= options.m_grow_every) {
+    ++state.m_limit;
+    state.m_grown_at = input.m_now;
+  }
+}
+
+bool MayEvict(const BatchTask& task, const SlotPlanOptions& options, const Time now) {
+  if (!task.m_throttled || !task.m_can_checkpoint) return false;
+  if (now - task.m_throttled_at < options.m_evict_after) return false;
+  // A later attempt follows an eviction that was before its start.
+  return task.m_attempt <= 1 || now - task.m_started >= options.m_evict_again_after;
+}
+
+}  // namespace
+
+SlotPlan PlanSlots(SlotPlanState& state, const SlotPlanOptions& options,
+                   const SlotPlanInput& input) {
+  UpdateLimit(state, options, input);
+  SlotPlan plan{.m_batch_limit = state.m_limit};
+  std::vector<const BatchTask*> running;
+  std::vector<const BatchTask*> throttled;
+  for (const BatchTask& task : input.m_batch) {
+    (task.m_throttled ? throttled : running).push_back(&task);
+  }
+  if (running.size() > state.m_limit) {
+    // The latest started has lost least when it has to be evicted later.
+    std::sort(running.begin(), running.end(), [](const BatchTask* a, const BatchTask* b) {
+      return a->m_started != b->m_started ? a->m_started > b->m_started : a->m_job < b->m_job;
+    });
+    const std::size_t excess = running.size() - state.m_limit;
+    for (std::size_t i = 0; i < excess; ++i) plan.m_throttle.push_back(running[i]->m_job);
+    return plan;
+  }
+  // The longest throttled resumes first, and all of them before new tasks start.
+  std::sort(throttled.begin(), throttled.end(), [](const BatchTask* a, const BatchTask* b) {
+    return a->m_throttled_at != b->m_throttled_at ? a->m_throttled_at < b->m_throttled_at
+                                                  : a->m_job < b->m_job;
+  });
+  std::size_t free = state.m_limit - running.size();
+  std::size_t next = 0;
+  while (free > 0 && next < throttled.size()) {
+    plan.m_resume.push_back(throttled[next]->m_job);
+    ++next;
+    --free;
+  }
+  plan.m_admit = static_cast<std::uint32_t>(free);
+  for (; next < throttled.size(); ++next) {
+    if (MayEvict(*throttled[next], options, input.m_now)) {
+      plan.m_evict.push_back(throttled[next]->m_job);
+      break;
+    }
+  }
+  return plan;
+}
+
+}  // namespace ebonypin::core
--- /dev/null
+++ b/packages/core/tests/dispatch_test.cc
@@ -0,0 +1,233 @@
+#include "ebonypin/core/dispatch.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace ebonypin::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// One entry with agents a0, a1, ... on a virtual clock.
+struct Entry {
+  explicit Entry(const std::uint32_t agents) {
+    for (std::uint32_t i = 0; i < agents; ++i) {
+      const auto id = "a" + std::to_string(i);
+      ObserveHeartbeat(m_fleet,
+                       {.m_agent = {id},
+                        .m_incarnation = 1,
+                        .m_domain = {"d"},
+                        .m_rpc_address = id,
+                        .m_capacity = {.m_cpu_millis = 16000, .m_memory_mb = 60000},
+                        .m_slots = 8},
+                       m_now);
+    }
+  }
+
+  DispatchContext Context() { return {m_fleet, m_options, m_now, m_random}; }
+
+  void Send(const Ticket ticket, const std::string& id, const bool non_idempotent = false,
+            const Duration deadline = 1s) {
+    Take(OnRequest(m_state, Context(), ticket,
+                   {.m_id = {id},
+                    .m_class = {"preview"},
+                    .m_deadline = deadline,
+                    .m_non_idempotent = non_idempotent},
+                   {.m_name = {"preview"}}));
+  }
+
+  void Reply(const SendRun& run, const AnswerKind kind, const std::string& result = "",
+             const std::optional<std::uint64_t> hash = std::nullopt) {
+    Take(OnRunReply(m_state, Context(), run.m_agent,
+                    {.m_request = run.m_run.m_request,
+                     .m_try = run.m_run.m_try,
+                     .m_kind = kind,
+                     .m_error = {.m_kind = ErrorKind::kNoCapacity, .m_message = "full"},
+                     .m_result = result,
+                     .m_result_hash = hash.value_or(StableHash(result))}));
+  }
+
+  void Fail(const SendRun& run, const CallFailure failure) {
+    Take(OnCallFailed(m_state, Context(), run.m_run.m_try, failure));
+  }
+
+  void Advance(const Duration by) {
+    m_now += by;
+    Take(OnTick(m_state, Context()));
+  }
+
+  void Take(const DispatchActions& actions) {
+    for (const auto& action : actions) {
+      if (const auto* const run = std::get_if<SendRun>(&action)) m_runs.push_back(*run);
+      if (const auto* const answer = std::get_if<AnswerCaller>(&action)) {
+        m_answers.push_back(*answer);
+      }
+      if (const auto* const cancel = std::get_if<SendCancel>(&action)) m_cancels.push_back(*cancel);
+    }
+  }
+
+  Time m_now{1000s};
+  FleetView m_fleet;
+  DispatchOptions m_options;
+  DispatchState m_state;
+  std::mt19937_64 m_random{7};
+  std::vector<SendRun> m_runs;
+  std::vector<AnswerCaller> m_answers;
+  std::vector<SendCancel> m_cancels;
+};
+
+class DispatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatchTest);
+  CPPUNIT_TEST(ReplyAnswersItsOwnRequest);
+  CPPUNIT_TEST(ReplyOfAnotherRequestOrAgentIsNotUsed);
+  CPPUNIT_TEST(DamagedResultIsNotPassedOn);
+  CPPUNIT_TEST(NotRunIsTriedAtAnotherAgent);
+  CPPUNIT_TEST(NonIdempotentWorkIsNotRepeatedAfterATimeout);
+  CPPUNIT_TEST(IdempotentWorkIsRepeatedWithinItsBudget);
+  CPPUNIT_TEST(LateReplyOfASupersededTryAnswersIdempotentWork);
+  CPPUNIT_TEST(NotRunIsNeverSaidWhileATryMayHaveRun);
+  CPPUNIT_TEST(DeadlineIsAnsweredAtOnce);
+  CPPUNIT_TEST(SlowIdempotentWorkIsHedgedAndTheOtherTryCancelled);
+  CPPUNIT_TEST(CancelIsAnsweredAndReachesTheAgent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReplyAnswersItsOwnRequest() {
+    Entry entry(2);
+    entry.Send(1, "r");
+    entry.Send(2, "r");
+    entry.Reply(entry.m_runs[1], AnswerKind::kDone, "two");
+    entry.Reply(entry.m_runs[0], AnswerKind::kDone, "one");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, entry.m_answers.size());
+    CPPUNIT_ASSERT_EQUAL(Ticket{2}, entry.m_answers[0].m_ticket);
+    CPPUNIT_ASSERT_EQUAL(std::string{"two"}, entry.m_answers[0].m_answer.m_result);
+    CPPUNIT_ASSERT_EQUAL(std::string{"one"}, entry.m_answers[1].m_answer.m_result);
+    CPPUNIT_ASSERT(entry.m_state.m_tries.empty() && entry.m_state.m_wakes.empty());
+    CPPUNIT_ASSERT_EQUAL(0U, entry.m_fleet.m_agents[0].m_in_flight);
+  }
+
+  void ReplyOfAnotherRequestOrAgentIsNotUsed() {
+    Entry entry(2);
+    entry.Send(1, "r");
+    SendRun wrong = entry.m_runs[0];
+    wrong.m_run.m_request = {"other"};
+    entry.Reply(wrong, AnswerKind::kDone, "x");
+    wrong = entry.m_runs[0];
+    wrong.m_run.m_try += 1;
+    entry.Reply(wrong, AnswerKind::kDone, "x");
+    wrong = entry.m_runs[0];
+    wrong.m_agent = {"elsewhere"};
+    entry.Reply(wrong, AnswerKind::kDone, "x");
+    CPPUNIT_ASSERT(entry.m_answers.empty());
+  }
+
+  void DamagedResultIsNotPassedOn() {
+    Entry entry(2);
+    entry.Send(1, "r", true);
+    entry.Reply(entry.m_runs[0], AnswerKind::kDone, "cut", 5);
+    CPPUNIT_ASSERT(entry.m_answers.at(0).m_answer.m_kind == AnswerKind::kUnknown);
+    CPPUNIT_ASSERT(entry.m_answers[0].m_answer.m_error->m_kind == ErrorKind::kBadMessage);
+  }
+
+  void NotRunIsTriedAtAnotherAgent() {
+    Entry entry(3);
+    entry.Send(1, "r", true);
+    entry.Reply(entry.m_runs[0], AnswerKind::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_runs.size());  // Backoff comes first.
+    entry.Advance(5ms);
+    entry.Fail(entry.m_runs.at(1), CallFailure::kNotSent);
+    entry.Advance(5ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, entry.m_runs.size());
+    CPPUNIT_ASSERT(entry.m_runs[0].m_agent != entry.m_runs[1].m_agent);
+    CPPUNIT_ASSERT(entry.m_runs[0].m_agent != entry.m_runs[2].m_agent);
+    entry.Reply(entry.m_runs[2], AnswerKind::kNotRun);
+    entry.Advance(20ms);
+    CPPUNIT_ASSERT(entry.m_answers.at(0).m_answer.m_kind == AnswerKind::kNotRun);
+  }
+
+  void NonIdempotentWorkIsNotRepeatedAfterATimeout() {
+    Entry entry(3);
+    entry.Send(1, "r", true);
+    entry.Fail(entry.m_runs[0], CallFailure::kDisconnected);
+    entry.Advance(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_runs.size());
+    CPPUNIT_ASSERT(entry.m_answers.at(0).m_answer.m_kind == AnswerKind::kUnknown);
+  }
+
+  void IdempotentWorkIsRepeatedWithinItsBudget() {
+    Entry entry(3);
+    entry.m_options.m_retries = {.m_ratio = 0.0, .m_capacity = 2.0};
+    for (Ticket ticket = 1; ticket <= 5; ++ticket) {
+      entry.Send(ticket, "r" + std::to_string(ticket));
+      entry.Fail(entry.m_runs.back(), CallFailure::kTimeout);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, entry.m_answers.size());
+    entry.Advance(10ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, entry.m_runs.size());
+  }
+
+  void LateReplyOfASupersededTryAnswersIdempotentWork() {
+    Entry entry(3);
+    entry.Send(1, "r");
+    entry.Fail(entry.m_runs[0], CallFailure::kTimeout);
+    entry.Advance(10ms);
+    entry.Reply(entry.m_runs[0], AnswerKind::kDone, "late");
+    entry.Reply(entry.m_runs.at(1), AnswerKind::kDone, "second");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_answers.size());
+    CPPUNIT_ASSERT_EQUAL(std::string{"late"}, entry.m_answers[0].m_answer.m_result);
+    CPPUNIT_ASSERT(entry.m_cancels.at(0).m_agent == entry.m_runs[1].m_agent);
+  }
+
+  void NotRunIsNeverSaidWhileATryMayHaveRun() {
+    Entry entry(2);
+    entry.Send(1, "r");
+    entry.Fail(entry.m_runs[0], CallFailure::kTimeout);
+    entry.Advance(10ms);
+    entry.Reply(entry.m_runs.at(1), AnswerKind::kNotRun);
+    entry.Advance(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_answers.size());
+    CPPUNIT_ASSERT(entry.m_answers[0].m_answer.m_kind == AnswerKind::kUnknown);
+  }
+
+  void DeadlineIsAnsweredAtOnce() {
+    Entry entry(2);
+    entry.Send(1, "r", false, 100ms);
+    entry.Advance(99ms);
+    CPPUNIT_ASSERT(entry.m_answers.empty());
+    entry.Advance(1ms);
+    CPPUNIT_ASSERT(entry.m_answers.at(0).m_answer.m_kind == AnswerKind::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(0U, entry.m_fleet.m_agents[0].m_in_flight);
+  }
+
+  void SlowIdempotentWorkIsHedgedAndTheOtherTryCancelled() {
+    Entry entry(4);
+    for (Ticket ticket = 1; ticket <= 30; ++ticket) {
+      entry.Send(ticket, "r");
+      entry.Reply(entry.m_runs.back(), AnswerKind::kDone, "x");
+    }
+    entry.Send(40, "slow");
+    entry.Send(41, "slow-once", true);
+    entry.Advance(30ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{33}, entry.m_runs.size());
+    CPPUNIT_ASSERT(entry.m_runs[32].m_run.m_request == RequestId{"slow"});
+    entry.Reply(entry.m_runs[32], AnswerKind::kDone, "fast");
+    CPPUNIT_ASSERT(entry.m_cancels.at(0).m_agent == entry.m_runs[30].m_agent);
+    entry.Reply(entry.m_runs[30], AnswerKind::kDone, "slow");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{31}, entry.m_answers.size());
+  }
+
+  void CancelIsAnsweredAndReachesTheAgent() {
+    Entry entry(2);
+    entry.Send(1, "r");
+    entry.Take(OnCancel(entry.m_state, entry.Context(), 1));
+    entry.Take(OnCancel(entry.m_state, entry.Context(), 1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_answers.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_cancels.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchTest);
+
+}  // namespace
+}  // namespace ebonypin::core
