--- /dev/null
+++ b/packages/core/include/ebonypin/core/job_table.h
@@ -0,0 +1,146 @@
+/// Jobs and shard ownership of a region as the order of its log stream determines them.
+///
+/// Every entry folds the same records and reaches the same table. A record that loses a conflict is
+/// void: it changes nothing and yields an event that says why.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "ebonypin/core/records.h"
+
+namespace ebonypin::core {
+
+/// Traces of closed jobs, and with them their idempotency keys, are kept for this many offsets
+/// after the close. About four days at 22,000 jobs a day in a region with four appends a job.
+inline constexpr LogOffset kClosedTraceOffsets = 400'000;
+
+/// Batch ids are remembered for this many offsets: more than ten minutes at 100 appends/s, while an
+/// appender repeats an append for seconds.
+inline constexpr LogOffset kBatchIdOffsets = 65'536;
+
+/// Results of closed jobs are kept up to this total; the oldest are dropped first.
+inline constexpr std::size_t kClosedResultBytes = 64U << 20U;
+
+enum class JobEventKind : std::uint8_t {
+  kAccepted,
+  kAssigned,
+  kRequeued,
+  kFinished,         ///< Closed by JobFinished.
+  kCancelled,        ///< Closed by JobCancelled, or by the requeue of a job to be cancelled.
+  kCancelRequested,  ///< JobCancelled of a job whose attempt is current.
+  kSnapshot,
+  kShardClaimed,
+  kShardReleased,
+  kVoid,  ///< The record lost; `m_reason` says why.
+};
+
+enum class VoidReason : std::uint8_t {
+  kNone,
+  kDuplicateKey,    ///< The key maps to `m_existing`.
+  kDuplicateJob,    ///< The job id is known; `m_existing` is that job.
+  kUnknownJob,      ///< No accepted job of that id is known here.
+  kStaleEpoch,      ///< The epoch is not the shard's current one, or the shard is released.
+  kStaleAttempt,    ///< The attempt is not the one that the record may change.
+  kClosed,          ///< The job is closed.
+  kChangedSince,    ///< Another record of the job lies behind the snapshot's offset.
+  kNotOwner,        ///< A release by an entry that does not own the shard.
+  kDuplicateBatch,  ///< The batch was applied before.
+};
+
+/// What one record of a batch did. Identifying members are copied from the record.
+struct JobEvent {
+  JobEventKind m_kind = JobEventKind::kVoid;
+  VoidReason m_reason = VoidReason::kNone;
+  std::size_t m_record = 0;  ///< Index of the record in its batch.
+  JobId m_job;               ///< Empty for shard records.
+  JobId m_existing;          ///< For kDuplicateKey and kDuplicateJob.
+  Attempt m_attempt = 0;
+  Epoch m_epoch = 0;
+  ShardIndex m_shard = 0;
+  EntryId m_entry;  ///< Writer of the batch.
+  LogOffset m_offset = 0;
+  friend bool operator==(const JobEvent&, const JobEvent&) = default;
+};
+
+/// Open job with the bookkeeping that snapshots need.
+struct OpenJob {
+  JobState m_state;
+  LogOffset m_mentioned = 0;  ///< Last record that names the job, void or not.
+  LogOffset m_recorded = 0;   ///< Accept or snapshot from which a newcomer learns the job.
+  friend bool operator==(const OpenJob&, const OpenJob&) = default;
+};
+
+/// What is kept of a closed job.
+struct ClosedTrace {
+  ClassName m_class;
+  RequestId m_request;
+  std::string m_key;
+  std::string m_result;
+  LogOffset m_accepted_offset = 0;
+  LogOffset m_closed_offset = 0;
+  LogOffset m_mentioned = 0;
+  LogOffset m_recorded = 0;
+  WallMillis m_accepted_wall = 0;
+  Attempt m_attempt = 0;
+  JobOutcome m_outcome = JobOutcome::kUnknown;
+  bool m_result_dropped = false;  ///< The result is in the log only; see kClosedResultBytes.
+  friend bool operator==(const ClosedTrace&, const ClosedTrace&) = default;
+};
+
+/// Ownership of one shard and its jobs.
+struct ShardState {
+  Epoch m_epoch = 0;
+  EntryId m_owner;  ///< Empty when free.
+  Incarnation m_owner_incarnation = 0;
+  LogOffset m_claimed_offset = 0;
+  std::unordered_map<JobId, OpenJob> m_open;
+  std::unordered_map<JobId, ClosedTrace> m_closed;
+};
+
+struct JobTable {
+  /// Set before the first Apply when the fold does not begin at the stream's first record. Records
+  /// of truncated jobs are then expected, and the first epoch seen of a shard is taken as its
+  /// current one.
+  bool m_partial = false;
+  LogOffset m_offset = 0;  ///< Last batch applied.
+  std::array<ShardState, kShardCount> m_shards;
+  std::unordered_map<std::string, JobId> m_keys;
+  std::unordered_map<JobId, LogOffset> m_unknown_mentions;  ///< Of truncated jobs; partial only.
+  std::unordered_set<std::uint64_t> m_batches;              ///< Hashes of batch ids.
+  std::deque<std::pair<LogOffset, std::uint64_t>> m_batch_order;
+  std::deque<std::pair<LogOffset, JobId>> m_closed_order;
+  std::deque<JobId> m_result_order;
+  std::size_t m_result_bytes = 0;
+};
+
+/// Folds `batch`, read at `offset`, and appends one event for each job or shard record to `events`.
+/// Records of other streams are skipped. A batch at or before `m_offset` is ignored without events.
+///
+/// Example: `Apply(table, tail.m_offset, tail.m_batch, events);`
+void Apply(JobTable& table, LogOffset offset, const LogBatch& batch, std::vector<JobEvent>& events);
+
+/// Returns the open job `job`, or nullptr.
+[[nodiscard]] const JobState* FindOpen(const JobTable& table, const JobId& job) noexcept;
+
+/// Returns the trace of the closed job `job`, or nullptr when it is open, unknown or expired.
+[[nodiscard]] const ClosedTrace* FindClosed(const JobTable& table, const JobId& job) noexcept;
+
+/// Returns the job that `key` maps to.
+[[nodiscard]] std::optional<JobId> FindByKey(const JobTable& table, const std::string& key);
+
+/// Returns the number of open jobs of all shards.
+[[nodiscard]] std::size_t OpenCount(const JobTable& table) noexcept;
+
+/// Returns snapshots of at most `limit` jobs of `shard`, open or closed, whose last accept or
+/// snapshot lies before `before`. Append them so that they outlive the log's retention.
+[[nodiscard]] std::vector<JobSnapshot> SnapshotsBefore(const JobTable& table, ShardIndex shard,
+                                                       LogOffset before, std::size_t limit);
+
+}  // namespace ebonypin::core
--- /dev/null
+++ b/packages/core/src/job_table.cc
@@ -0,0 +1,463 @@
+#include "ebonypin/core/job_table.h"
+
+#include <utility>
+
+namespace ebonypin::core {
+namespace {
+
+/// One batch being folded.
+struct Fold {
+  JobTable& m_table;
+  LogOffset m_offset;
+  std::vector<JobEvent>& m_events;
+};
+
+ShardState& ShardOfJob(JobTable& table, const JobId& job) { return table.m_shards[ShardOf(job)]; }
+
+JobState TraceState(const JobId& job, const ClosedTrace& trace) {
+  return {.m_job = job,
+          .m_request = {.m_id = trace.m_request, .m_class = trace.m_class, .m_key = trace.m_key},
+          .m_accepted_wall = trace.m_accepted_wall,
+          .m_accepted_offset = trace.m_accepted_offset,
+          .m_last_offset = trace.m_closed_offset,
+          .m_attempt = trace.m_attempt,
+          .m_closed = true,
+          .m_outcome = trace.m_outcome,
+          .m_result = trace.m_result};
+}
+
+void DropOldestResults(JobTable& table) {
+  while (table.m_result_bytes > kClosedResultBytes && !table.m_result_order.empty()) {
+    const JobId job = std::move(table.m_result_order.front());
+    table.m_result_order.pop_front();
+    auto& closed = ShardOfJob(table, job).m_closed;
+    const auto found = closed.find(job);
+    if (found == closed.end() || found->second.m_result.empty()) continue;
+    table.m_result_bytes -= found->second.m_result.size();
+    found->second.m_result = {};
+    found->second.m_result_dropped = true;
+  }
+}
+
+/// Replaces the open job by its trace. A closing record does not carry the key, so a newcomer
+/// learns the trace from the accept or snapshot at `recorded`.
+void Close(const Fold& fold, const JobState& state, const LogOffset recorded) {
+  JobTable& table = fold.m_table;
+  ShardState& shard = ShardOfJob(table, state.m_job);
+  ClosedTrace trace{.m_class = state.m_request.m_class,
+                    .m_request = state.m_request.m_id,
+                    .m_key = state.m_request.m_key,
+                    .m_result = state.m_result,
+                    .m_accepted_offset = state.m_accepted_offset,
+                    .m_closed_offset = state.m_last_offset,
+                    .m_mentioned = fold.m_offset,
+                    .m_recorded = recorded,
+                    .m_accepted_wall = state.m_accepted_wall,
+                    .m_attempt = state.m_attempt,
+                    .m_outcome = state.m_outcome};
+  if (!trace.m_key.empty()) table.m_keys.insert_or_assign(trace.m_key, state.m_job);
+  table.m_closed_order.emplace_back(trace.m_closed_offset, state.m_job);
+  if (!trace.m_result.empty()) {
+    table.m_result_bytes += trace.m_result.size();
+    table.m_result_order.push_back(state.m_job);
+  }
+  const JobId job = state.m_job;  // `state` may lie in the entry that is erased next.
+  shard.m_closed.insert_or_assign(job, std::move(trace));
+  shard.m_open.erase(job);
+  DropOldestResults(table);
+}
+
+/// Whether a trace closed at `closed_offset` no longer counts, even when it is queued for removal.
+bool Expired(const LogOffset closed_offset, const LogOffset offset) {
+  return closed_offset + kClosedTraceOffsets < offset;
+}
+
+void EraseKey(JobTable& table, const std::string& key, const JobId& job) {
+  const auto found = table.m_keys.find(key);
+  if (found != table.m_keys.end() && found->second == job) table.m_keys.erase(found);
+}
+
+void EraseTrace(JobTable& table, const JobId& job) {
+  auto& closed = ShardOfJob(table, job).m_closed;
+  const auto found = closed.find(job);
+  if (found == closed.end()) return;
+  EraseKey(table, found->second.m_key, job);
+  table.m_result_bytes -= found->second.m_result.size();
+  closed.erase(found);
+}
+
+void ExpireTraces(JobTable& table) {
+  // Traces learned from snapshots are queued late; they then expire behind younger ones.
+  while (!table.m_closed_order.empty() &&
+         Expired(table.m_closed_order.front().first, table.m_offset)) {
+    EraseTrace(table, table.m_closed_order.front().second);
+    table.m_closed_order.pop_front();
+  }
+}
+
+/// Returns whether a record of `epoch` is valid in `shard`. A partial table learns the epoch from
+/// it.
+bool EpochValid(const JobTable& table, ShardState& shard, const Epoch epoch,
+                const EntryId& writer) {
+  if (table.m_partial && epoch > shard.m_epoch && shard.m_claimed_offset == 0) {
+    shard.m_epoch = epoch;
+    shard.m_owner = writer;
+    return true;
+  }
+  return epoch == shard.m_epoch && !shard.m_owner.IsEmpty();
+}
+
+/// Finds the open job that a record names and notes the mention; otherwise gives the void reason.
+OpenJob* Mention(const Fold& fold, const JobId& job, VoidReason& reason) {
+  ShardState& shard = ShardOfJob(fold.m_table, job);
+  if (const auto open = shard.m_open.find(job); open != shard.m_open.end()) {
+    open->second.m_mentioned = fold.m_offset;
+    return &open->second;
+  }
+  if (const auto closed = shard.m_closed.find(job); closed != shard.m_closed.end()) {
+    if (!Expired(closed->second.m_closed_offset, fold.m_offset)) {
+      closed->second.m_mentioned = fold.m_offset;
+      reason = VoidReason::kClosed;
+      return nullptr;
+    }
+    EraseTrace(fold.m_table, job);
+  }
+  if (fold.m_table.m_partial) fold.m_table.m_unknown_mentions[job] = fold.m_offset;
+  reason = VoidReason::kUnknownJob;
+  return nullptr;
+}
+
+void ApplyRecord(const Fold& fold, const JobAccepted& record, const LogBatch&, JobEvent& event) {
+  JobTable& table = fold.m_table;
+  event.m_job = record.m_job;
+  VoidReason reason = VoidReason::kNone;
+  if (Mention(fold, record.m_job, reason) != nullptr || reason == VoidReason::kClosed) {
+    event.m_reason = VoidReason::kDuplicateJob;
+    event.m_existing = record.m_job;
+    return;
+  }
+  const std::string& key = record.m_request.m_key;
+  if (!key.empty()) {
+    const auto found = table.m_keys.find(key);
+    if (found != table.m_keys.end()) {
+      const auto* const trace = FindClosed(table, found->second);
+      if (trace == nullptr || !Expired(trace->m_closed_offset, fold.m_offset)) {
+        event.m_reason = VoidReason::kDuplicateKey;
+        event.m_existing = found->second;
+        return;
+      }
+    }
+    table.m_keys.insert_or_assign(key, record.m_job);
+  }
+  ShardOfJob(table, record.m_job)
+      .m_open.emplace(record.m_job, OpenJob{.m_state = {.m_job = record.m_job,
+                                                        .m_request = record.m_request,
+                                                        .m_accepted_wall = record.m_wall,
+                                                        .m_accepted_offset = fold.m_offset,
+                                                        .m_last_offset = fold.m_offset},
+                                            .m_mentioned = fold.m_offset,
+                                            .m_recorded = fold.m_offset});
+  table.m_unknown_mentions.erase(record.m_job);
+  event.m_kind = JobEventKind::kAccepted;
+}
+
+void ApplyRecord(const Fold& fold, const JobAssigned& record, const LogBatch&, JobEvent& event) {
+  event.m_job = record.m_job;
+  event.m_attempt = record.m_attempt;
+  event.m_epoch = record.m_epoch;
+  ShardState& shard = ShardOfJob(fold.m_table, record.m_job);
+  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, record.m_entry);
+  OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  if (job == nullptr) return;
+  JobState& state = job->m_state;
+  if (!epoch_valid) {
+    event.m_reason = VoidReason::kStaleEpoch;
+  } else if (state.m_assigned || record.m_attempt != state.m_attempt + 1) {
+    event.m_reason = VoidReason::kStaleAttempt;
+  } else {
+    state.m_attempt = record.m_attempt;
+    state.m_assigned = true;
+    state.m_agent = record.m_agent;
+    state.m_agent_incarnation = record.m_agent_incarnation;
+    state.m_reservation = record.m_reservation;
+    state.m_last_offset = fold.m_offset;
+    event.m_kind = JobEventKind::kAssigned;
+  }
+}
+
+void ApplyRecord(const Fold& fold, const JobRequeued& record, const LogBatch& batch,
+                 JobEvent& event) {
+  event.m_job = record.m_job;
+  event.m_attempt = record.m_attempt;
+  event.m_epoch = record.m_epoch;
+  ShardState& shard = ShardOfJob(fold.m_table, record.m_job);
+  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, batch.m_entry);
+  OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  if (job == nullptr) return;
+  JobState& state = job->m_state;
+  if (!epoch_valid) {
+    event.m_reason = VoidReason::kStaleEpoch;
+  } else if (!state.m_assigned || record.m_attempt != state.m_attempt) {
+    event.m_reason = VoidReason::kStaleAttempt;
+  } else {
+    state.m_assigned = false;
+    if (!record.m_checkpoint.empty()) state.m_checkpoint = record.m_checkpoint;
+    state.m_last_offset = fold.m_offset;
+    event.m_kind = JobEventKind::kRequeued;
+    if (state.m_cancel_requested) {
+      state.m_closed = true;
+      state.m_outcome = JobOutcome::kCancelled;
+      event.m_kind = JobEventKind::kCancelled;
+      Close(fold, state, job->m_recorded);
+    }
+  }
+}
+
+/// Whether a job without a current attempt may end so.
+bool EndsWithoutAttempt(const JobOutcome outcome) {
+  return outcome == JobOutcome::kCancelled || outcome == JobOutcome::kNeverFits;
+}
+
+void ApplyRecord(const Fold& fold, const JobFinished& record, const LogBatch& batch,
+                 JobEvent& event) {
+  event.m_job = record.m_job;
+  event.m_attempt = record.m_attempt;
+  event.m_epoch = record.m_epoch;
+  ShardState& shard = ShardOfJob(fold.m_table, record.m_job);
+  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, batch.m_entry);
+  OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  if (job == nullptr) return;
+  JobState& state = job->m_state;
+  if (!epoch_valid) {
+    event.m_reason = VoidReason::kStaleEpoch;
+  } else if (record.m_attempt != state.m_attempt ||
+             (!state.m_assigned && !EndsWithoutAttempt(record.m_outcome))) {
+    event.m_reason = VoidReason::kStaleAttempt;
+  } else {
+    state.m_assigned = false;
+    state.m_closed = true;
+    state.m_outcome = record.m_outcome;
+    state.m_result = record.m_result;
+    state.m_last_offset = fold.m_offset;
+    event.m_kind = JobEventKind::kFinished;
+    Close(fold, state, job->m_recorded);
+  }
+}
+
+void ApplyRecord(const Fold& fold, const JobCancelled& record, const LogBatch&, JobEvent& event) {
+  event.m_job = record.m_job;
+  OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  if (job == nullptr) return;
+  JobState& state = job->m_state;
+  event.m_attempt = state.m_attempt;
+  state.m_last_offset = fold.m_offset;
+  if (state.m_assigned) {
+    state.m_cancel_requested = true;
+    event.m_kind = JobEventKind::kCancelRequested;
+  } else {
+    state.m_closed = true;
+    state.m_outcome = JobOutcome::kCancelled;
+    event.m_kind = JobEventKind::kCancelled;
+    Close(fold, state, job->m_recorded);
+  }
+}
+
+void ApplyRecord(const Fold& fold, const ShardClaimed& record, const LogBatch&, JobEvent& event) {
+  event.m_epoch = record.m_epoch;
+  if (record.m_shard >= kShardCount) {
+    event.m_reason = VoidReason::kStaleEpoch;
+    return;
+  }
+  event.m_shard = record.m_shard;
+  ShardState& shard = fold.m_table.m_shards[record.m_shard];
+  const bool first_seen =
+      fold.m_table.m_partial && shard.m_claimed_offset == 0 && record.m_epoch > shard.m_epoch;
+  if (record.m_epoch != shard.m_epoch + 1 && !first_seen) {
+    event.m_reason = VoidReason::kStaleEpoch;
+    return;
+  }
+  shard.m_epoch = record.m_epoch;
+  shard.m_owner = record.m_entry;
+  shard.m_owner_incarnation = record.m_incarnation;
+  shard.m_claimed_offset = fold.m_offset;
+  event.m_kind = JobEventKind::kShardClaimed;
+}
+
+void ApplyRecord(const Fold& fold, const ShardReleased& record, const LogBatch&, JobEvent& event) {
+  event.m_epoch = record.m_epoch;
+  if (record.m_shard >= kShardCount) {
+    event.m_reason = VoidReason::kNotOwner;
+    return;
+  }
+  event.m_shard = record.m_shard;
+  ShardState& shard = fold.m_table.m_shards[record.m_shard];
+  if (shard.m_owner.IsEmpty() || shard.m_owner != record.m_entry ||
+      record.m_epoch != shard.m_epoch) {
+    event.m_reason = VoidReason::kNotOwner;
+    return;
+  }
+  shard.m_owner = {};
+  shard.m_owner_incarnation = 0;
+  event.m_kind = JobEventKind::kShardReleased;
+}
+
+/// Removes the job, open or closed, with its key.
+void Forget(JobTable& table, const JobId& job) {
+  auto& open = ShardOfJob(table, job).m_open;
+  if (const auto found = open.find(job); found != open.end()) {
+    EraseKey(table, found->second.m_state.m_request.m_key, job);
+    open.erase(found);
+  }
+  EraseTrace(table, job);
+}
+
+/// Enters a job that a partial table learns from a snapshot. What the table held of it may rest on
+/// records that are void in a complete table, such as a repeated accept.
+void Learn(const Fold& fold, const JobState& state) {
+  JobTable& table = fold.m_table;
+  table.m_unknown_mentions.erase(state.m_job);
+  Forget(table, state.m_job);
+  if (const auto other = FindByKey(table, state.m_request.m_key);
+      other && *other != state.m_job && !state.m_request.m_key.empty()) {
+    // The accept of `other` came after the truncated one of this job, so its key was taken.
+    Forget(table, *other);
+  }
+  if (state.m_closed) {
+    Close(fold, state, fold.m_offset);
+    return;
+  }
+  if (!state.m_request.m_key.empty())
+    table.m_keys.insert_or_assign(state.m_request.m_key, state.m_job);
+  ShardOfJob(table, state.m_job)
+      .m_open.emplace(
+          state.m_job,
+          OpenJob{.m_state = state, .m_mentioned = fold.m_offset, .m_recorded = fold.m_offset});
+}
+
+void ApplyRecord(const Fold& fold, const JobSnapshot& record, const LogBatch&, JobEvent& event) {
+  JobTable& table = fold.m_table;
+  const JobState& state = record.m_state;
+  event.m_job = state.m_job;
+  event.m_attempt = state.m_attempt;
+  if (state.m_closed && Expired(state.m_last_offset, fold.m_offset)) {
+    event.m_reason = VoidReason::kUnknownJob;
+    return;
+  }
+  ShardState& shard = ShardOfJob(table, state.m_job);
+  LogOffset mentioned = 0;
+  LogOffset* recorded = nullptr;
+  if (const auto open = shard.m_open.find(state.m_job); open != shard.m_open.end()) {
+    mentioned = open->second.m_mentioned;
+    recorded = &open->second.m_recorded;
+  } else if (const auto closed = shard.m_closed.find(state.m_job); closed != shard.m_closed.end()) {
+    mentioned = closed->second.m_mentioned;
+    recorded = &closed->second.m_recorded;
+  } else if (const auto unknown = table.m_unknown_mentions.find(state.m_job);
+             unknown != table.m_unknown_mentions.end()) {
+    mentioned = unknown->second;
+  }
+  if (mentioned > record.m_as_of) {
+    event.m_reason = VoidReason::kChangedSince;
+  } else if (table.m_partial) {
+    Learn(fold, state);
+    event.m_kind = JobEventKind::kSnapshot;
+    return;
+  } else if (recorded != nullptr) {
+    *recorded = fold.m_offset;
+    event.m_kind = JobEventKind::kSnapshot;
+  } else {
+    event.m_reason = VoidReason::kUnknownJob;
+    return;
+  }
+  // A snapshot is a mention too, so that of two rewriters with the same offset one wins.
+  VoidReason ignored = VoidReason::kNone;
+  static_cast<void>(Mention(fold, state.m_job, ignored));
+}
+
+template <typename T>
+concept JobRecord = requires(const Fold& fold, const T& record, const LogBatch& batch,
+                             JobEvent& event) {
+  ApplyRecord(fold, record, batch, event);
+};
+
+/// Notes the batch id and returns whether it is new.
+bool NoteBatch(JobTable& table, const LogOffset offset, const std::string& batch_id) {
+  while (!table.m_batch_order.empty() &&
+         table.m_batch_order.front().first + kBatchIdOffsets < offset) {
+    table.m_batches.erase(table.m_batch_order.front().second);
+    table.m_batch_order.pop_front();
+  }
+  const std::uint64_t hash = StableHash(batch_id);
+  if (!table.m_batches.insert(hash).second) return false;
+  table.m_batch_order.emplace_back(offset, hash);
+  return true;
+}
+
+}  // namespace
+
+void Apply(JobTable& table, const LogOffset offset, const LogBatch& batch,
+           std::vector<JobEvent>& events) {
+  if (offset <= table.m_offset) return;
+  table.m_offset = offset;
+  const Fold fold{.m_table = table, .m_offset = offset, .m_events = events};
+  const bool is_new = NoteBatch(table, offset, batch.m_batch_id);
+  for (std::size_t i = 0; i < batch.m_records.size(); ++i) {
+    std::visit(
+        [&]<typename T>(const T& record) {
+          if constexpr (JobRecord<T>) {
+            JobEvent event{.m_record = i, .m_entry = batch.m_entry, .m_offset = offset};
+            if (is_new) {
+              ApplyRecord(fold, record, batch, event);
+            } else {
+              event.m_reason = VoidReason::kDuplicateBatch;
+            }
+            if (!event.m_job.IsEmpty()) event.m_shard = ShardOf(event.m_job);
+            events.push_back(std::move(event));
+          }
+        },
+        batch.m_records[i]);
+  }
+  ExpireTraces(table);
+}
+
+const JobState* FindOpen(const JobTable& table, const JobId& job) noexcept {
+  const auto& open = table.m_shards[ShardOf(job)].m_open;
+  const auto found = open.find(job);
+  return found == open.end() ? nullptr : &found->second.m_state;
+}
+
+const ClosedTrace* FindClosed(const JobTable& table, const JobId& job) noexcept {
+  const auto& closed = table.m_shards[ShardOf(job)].m_closed;
+  const auto found = closed.find(job);
+  return found == closed.end() ? nullptr : &found->second;
+}
+
+std::optional<JobId> FindByKey(const JobTable& table, const std::string& key) {
+  const auto found = table.m_keys.find(key);
+  if (found == table.m_keys.end()) return std::nullopt;
+  return found->second;
+}
+
+std::size_t OpenCount(const JobTable& table) noexcept {
+  std::size_t count = 0;
+  for (const ShardState& shard : table.m_shards) count += shard.m_open.size();
+  return count;
+}
+
+std::vector<JobSnapshot> SnapshotsBefore(const JobTable& table, const ShardIndex shard,
+                                         const LogOffset before, const std::size_t limit) {
+  std::vector<JobSnapshot> snapshots;
+  for (const auto& [job, open] : table.m_shards[shard].m_open) {
+    if (snapshots.size() >= limit) return snapshots;
+    if (open.m_recorded < before)
+      snapshots.push_back({.m_state = open.m_state, .m_as_of = table.m_offset});
+  }
+  for (const auto& [job, trace] : table.m_shards[shard].m_closed) {
+    if (snapshots.size() >= limit) return snapshots;
+    if (trace.m_recorded < before && !Expired(trace.m_closed_offset, table.m_offset))
+      snapshots.push_back({.m_state = TraceState(job, trace), .m_as_of = table.m_offset});
+  }
+  return snapshots;
+}
+
+}  // namespace ebonypin::core
