--- /dev/null
+++ b/packages/core/tests/entry_members_test.cc
@@ -0,0 +1,119 @@
+#include "ebonypin/core/entry_members.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+
+namespace ebonypin::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Time kStart{1h};
+
+EntryInfo Info(const std::string& id, const Incarnation incarnation = 1) {
+  return {.m_entry = {id}, .m_incarnation = incarnation};
+}
+
+std::vector<EntryInfo> Entries(const int count) {
+  std::vector<EntryInfo> entries(static_cast<std::size_t>(count));
+  for (std::size_t i = 0; i < entries.size(); ++i) entries[i] = Info("e" + std::to_string(i));
+  return entries;
+}
+
+void Own(JobTable& table, const std::string& owner, const Incarnation incarnation) {
+  for (ShardState& shard : table.m_shards) {
+    shard.m_epoch = 1;
+    shard.m_owner = {owner};
+    shard.m_owner_incarnation = incarnation;
+  }
+}
+
+class EntryMembersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryMembersTest);
+  CPPUNIT_TEST(ShardsOfASilentEntryAreClaimedAfterFourSeconds);
+  CPPUNIT_TEST(ReplayedRecordsRaiseNoDeadEntry);
+  CPPUNIT_TEST(EachShardHasOnePreferredOwner);
+  CPPUNIT_TEST(LeavingEntryReleasesItsShards);
+  CPPUNIT_TEST(AgentsUseAtMostThreeHomes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against shards without an owner, and against claims while the owner is heard.
+  void ShardsOfASilentEntryAreClaimedAfterFourSeconds() {
+    EntryMembers members = MakeEntryMembers(Info("a"), kStart);
+    JobTable table;
+    Own(table, "b", 1);
+    // A starting entry waits 4 s before it takes an owner that it has not heard for dead.
+    CPPUNIT_ASSERT(PlanShards(members, table, kStart + 3999ms).m_claim.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kShardCount},
+                         PlanShards(members, table, kStart + 4s).m_claim.size());
+    OnEntryHeard(members, Info("b"), kStart + 10s);
+    CPPUNIT_ASSERT(PlanShards(members, table, kStart + 13999ms).m_claim.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kShardCount},
+                         PlanShards(members, table, kStart + 14s).m_claim.size());
+    // A new incarnation of the owner does not know what the old one owned.
+    OnEntryHeard(members, Info("b", 2), kStart + 20s);
+    CPPUNIT_ASSERT(!PlanShards(members, table, kStart + 20s).m_claim.empty());
+    OnEntryHeard(members, Info("b", 1), kStart + 30s);
+    CPPUNIT_ASSERT(!IsLive(members, {"b"}, kStart + 30s));
+  }
+
+  /// Guards against giving shards to entries that only old records of the log mention.
+  void ReplayedRecordsRaiseNoDeadEntry() {
+    EntryMembers members = MakeEntryMembers(Info("a"), kStart);
+    OnEntryNamed(members, Info("b"), true, kStart);
+    CPPUNIT_ASSERT(!IsLive(members, {"b"}, kStart));
+    OnEntryNamed(members, Info("b"), false, kStart + 1s);
+    CPPUNIT_ASSERT(!IsLive(members, {"b"}, kStart + 1s));
+    OnEntryNamed(members, Info("b", 2), false, kStart + 2s);
+    CPPUNIT_ASSERT(IsLive(members, {"b"}, kStart + 2s));
+  }
+
+  /// Guards against two entries that claim the same shard in turns while they see the same peers.
+  void EachShardHasOnePreferredOwner() {
+    const bool holds = rc::check("one preferred owner", [] {
+      const std::vector<EntryInfo> entries = Entries(*rc::gen::inRange(1, 8));
+      JobTable table;
+      std::multiset<ShardIndex> claims;
+      for (const EntryInfo& self : entries) {
+        EntryMembers members = MakeEntryMembers(self, kStart);
+        for (const EntryInfo& peer : entries) OnEntryHeard(members, peer, kStart);
+        for (const ShardIndex shard : PlanShards(members, table, kStart).m_claim)
+          claims.insert(shard);
+      }
+      RC_ASSERT(claims.size() == kShardCount);
+      RC_ASSERT(std::set<ShardIndex>(claims.begin(), claims.end()).size() == kShardCount);
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  /// Guards against a planned stop that leaves shards to the 4 s silence.
+  void LeavingEntryReleasesItsShards() {
+    EntryMembers members = MakeEntryMembers(Info("a"), kStart);
+    JobTable table;
+    Own(table, "a", 1);
+    members.m_self.m_leaving = true;
+    CPPUNIT_ASSERT(PlanShards(members, table, kStart).m_release.empty());
+    OnEntryHeard(members, Info("b"), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kShardCount},
+                         PlanShards(members, table, kStart).m_release.size());
+    CPPUNIT_ASSERT(PlanShards(members, table, kStart).m_claim.empty());
+  }
+
+  /// Guards against a full mesh between agents and entries.
+  void AgentsUseAtMostThreeHomes() {
+    std::vector<EntryInfo> entries = Entries(6);
+    const auto homes = HomeEntries({"agent"}, entries);
+    CPPUNIT_ASSERT_EQUAL(kHomeEntries, homes.size());
+    std::reverse(entries.begin(), entries.end());
+    CPPUNIT_ASSERT(homes == HomeEntries({"agent"}, entries));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryMembersTest);
+
+}  // namespace
+}  // namespace ebonypin::core
