Add the agent's ledger

An agent needs one authority that commits its worker's capacity. The ledger is a pure state machine over requests, reservations, attempts, grants, task events and reports.

--- a/packages/core/include/ebonypin/core/core.h
+++ b/packages/core/include/ebonypin/core/core.h
@@ -9,8 +9,10 @@
 ///     class_spec.h, request.h               what operators and callers ask for
 ///     records.h                             what is written to the log
 ///     messages.h                            what processes send each other
+///     agent_ledger.h                        what one worker's agent decides
 #pragma once
 
+#include "ebonypin/core/agent_ledger.h"
 #include "ebonypin/core/class_spec.h"
 #include "ebonypin/core/error.h"
 #include "ebonypin/core/ids.h"
--- /dev/null
+++ b/packages/core/src/agent_ledger_reports.cc
@@ -0,0 +1,110 @@
+/// Reports of ended attempts, held until acknowledged, and measured use.
+#include <algorithm>
+#include <utility>
+
+#include "agent_ledger_internal.h"
+
+namespace ebonypin::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kFirstRepeat = 1s;
+/// Repeats of large reports are spread so that held completions do not use up the control traffic
+/// of 8 KB/s; the limit bounds the delay after an outage. An acknowledgement releases all at once.
+constexpr std::int64_t kRepeatBytesPerSecond = 4096;
+constexpr Duration kMaxRepeat = 120s;
+constexpr Duration kSmallRepeat = 8s;
+
+/// Processor use above which requests suffer, and below which batch work may grow, in percent.
+constexpr std::int64_t kBusyPercent = 90;
+constexpr std::int64_t kCalmPercent = 80;
+constexpr std::uint32_t kShareStep = 50;
+
+std::size_t SizeOf(const TaskReport& report) {
+  return report.m_result.size() + report.m_checkpoint.size();
+}
+
+Duration NextBackoff(const AgentLedger& ledger, const LedgerReport& held) {
+  const auto doubled = std::min(held.m_backoff * 2, kSmallRepeat);
+  const auto seconds = static_cast<std::int64_t>(ledger.m_report_bytes) / kRepeatBytesPerSecond;
+  return std::clamp<Duration>(std::chrono::seconds{seconds}, doubled, kMaxRepeat);
+}
+
+}  // namespace
+
+namespace agent {
+
+void AddReport(AgentLedger& ledger, TaskReport report, const Time now, AgentActions& out) {
+  const TaskId task{.m_job = report.m_job, .m_attempt = report.m_attempt};
+  ledger.m_report_bytes += SizeOf(report);
+  auto& held = ledger.m_reports[task];
+  held = {.m_report = std::move(report),
+          .m_to = ledger.m_owners[ShardOf(task.m_job)],
+          .m_next_send = now + kFirstRepeat,
+          .m_backoff = kFirstRepeat};
+  out.emplace_back(SendReport{.m_to = held.m_to, .m_report = held.m_report});
+}
+
+void SendDueReports(AgentLedger& ledger, const Time now, AgentActions& out) {
+  for (auto& [task, held] : ledger.m_reports) {
+    if (held.m_next_send > now) continue;
+    // An owner that did not answer twice may be gone; any entry knows its successor.
+    if (held.m_backoff > kFirstRepeat) held.m_to.clear();
+    held.m_backoff = NextBackoff(ledger, held);
+    held.m_next_send = now + held.m_backoff;
+    out.emplace_back(SendReport{.m_to = held.m_to, .m_report = held.m_report});
+  }
+}
+
+}  // namespace agent
+
+AgentActions OnReportReply(AgentLedger& ledger, const TaskId& task, const TaskReportReply& reply,
+                           const std::string& from, const Time now) {
+  AgentActions out;
+  const auto found = ledger.m_reports.find(task);
+  if (found == ledger.m_reports.end()) return out;
+  auto& held = found->second;
+  if (reply.m_acknowledged) {
+    ledger.m_owners[ShardOf(task.m_job)] = from;
+    ledger.m_report_bytes -= SizeOf(held.m_report);
+    ledger.m_traces[task] = {.m_phase = held.m_report.m_phase,
+                             .m_outcome = held.m_report.m_outcome};
+    ledger.m_trace_order.emplace_back(now, task);
+    ledger.m_reports.erase(found);
+    out.emplace_back(ForgetTask{task});
+    // The log is back, so the other reports need not wait for their next repeat.
+    for (auto& [id, other] : ledger.m_reports)
+      other.m_next_send = std::min(other.m_next_send, now + kFirstRepeat);
+  } else if (reply.m_not_owner && !reply.m_owner.m_rpc_address.empty()) {
+    held.m_to = reply.m_owner.m_rpc_address;
+    held.m_backoff = kFirstRepeat;
+    // Two entries that take each other for the owner must not cause a loop at full speed.
+    held.m_next_send = now + 100ms;
+    ledger.m_owners[ShardOf(task.m_job)] = held.m_to;
+  }
+  return out;
+}
+
+AgentActions OnUsage(AgentLedger& ledger, const UsageReport& usage, const Time now) {
+  AgentActions out;
+  const auto capacity = std::max<std::int64_t>(ledger.m_options.m_capacity.m_cpu_millis, 1);
+  const auto percent = usage.m_used.m_cpu_millis * 100 / capacity;
+  const bool requests_wait = !ledger.m_runs.empty();
+  // Use measured before the last change does not show its effect yet.
+  const bool shows_last_change = now - usage.m_lag >= ledger.m_batch_share_changed;
+  auto share = ledger.m_batch_share;
+  if (percent > kBusyPercent && requests_wait && shows_last_change) {
+    share = std::max(share / 2, agent::kMinBatchShare);
+  } else if (percent < kCalmPercent || ledger.m_runs.empty()) {
+    share = std::min(share + kShareStep, agent::kFullShare);
+  }
+  if (share != ledger.m_batch_share) {
+    if (share < ledger.m_batch_share) ledger.m_batch_share_changed = now;
+    ledger.m_batch_share = share;
+    agent::SyncShares(ledger, now, out);
+  }
+  return out;
+}
+
+}  // namespace ebonypin::core
