--- /dev/null
+++ b/packages/platform/include/ebonypin/platform/log_tail.h
@@ -0,0 +1,70 @@
+/// Thread that reads one stream of the log in order and hands on its batches.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "ebonypin/core/records.h"
+#include "ebonypin/platform/log_service.h"
+
+namespace ebonypin::platform {
+
+/// Batch at its place in the stream.
+struct TailBatch {
+  core::LogOffset m_offset = 0;
+  core::WallMillis m_wall = 0;
+  core::LogBatch m_batch;
+};
+
+/// Entries that were lost to retention before this tail read them.
+struct TailGap {
+  core::LogOffset m_expected = 0;
+  core::LogOffset m_first_kept = 0;
+};
+
+struct LogTailOptions {
+  std::string m_stream;
+  core::LogOffset m_from = 0;
+  std::size_t m_max_entries = 256;
+  core::Duration m_wait = std::chrono::milliseconds{500};  ///< Long poll of each read.
+  core::Duration m_retry_delay = std::chrono::milliseconds{100};
+  std::function<void(const TailBatch&)> m_on_batch;  ///< On the tail's thread, in order.
+  std::function<void(const TailGap&)> m_on_gap;      ///< May be empty.
+  /// Entry that cannot be decoded, for example one of a newer version. It is passed over.
+  std::function<void(core::LogOffset, const core::Error&)> m_on_bad_entry;  ///< May be empty.
+  /// First time that everything in the stream has been read. May be empty.
+  std::function<void()> m_on_caught_up;
+};
+
+struct LogTailStatus {
+  core::Time m_last_read;          ///< Start of the last successful read; epoch before the first.
+  core::LogOffset m_position = 0;  ///< Next offset to read.
+  core::LogOffset m_first_kept = 0;
+  bool m_caught_up = false;  ///< Everything that was in the stream at the last read was handed on.
+  std::uint64_t m_reads = 0;
+  std::uint64_t m_failures = 0;
+  std::uint64_t m_gaps = 0;
+  std::uint64_t m_bad_entries = 0;
+};
+
+/// Tail of one stream. Outages are survived by repeating the read from the same offset.
+class LogTail {
+ public:
+  LogTail(LogService& log, LogTailOptions options);
+  ~LogTail();
+  LogTail(const LogTail&) = delete;
+  LogTail& operator=(const LogTail&) = delete;
+
+  [[nodiscard]] LogTailStatus Status() const;
+
+  /// Returns how long ago the last successful read began. A read that began then has seen
+  /// everything that had been appended before.
+  [[nodiscard]] core::Duration Age(core::Time now) const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace ebonypin::platform
