Measure the folded state of an entry

Cause: the capacity page needs slopes of jobs, classes and agents. Change: 'make capacity' also folds encoded records of 1,000, 10,000 and 100,000 open jobs, 10 to 1,100 classes, and fills views of 11 to 6,900 agents. Before: no figures.

--- a/packages/bench/src/capacity_main.cc
+++ b/packages/bench/src/capacity_main.cc
@@ -3,13 +3,13 @@
 #include <gflags/gflags.h>
 
 #include "capacity_heartbeats.h"
+#include "capacity_state.h"
 
 DEFINE_uint32(rounds, 60, "heartbeats that each member sends");
 
-int main(int argc, char** argv) {
-  gflags::SetUsageMessage("measures the slopes behind docs/CAPACITY.md");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+namespace {
 
+void PrintHeartbeats() {
   fmt::print("heartbeats over RPC on loopback\n");
   fmt::print("{:>8} {:>9} {:>10} {:>12} {:>12} {:>10} {:>9} {:>12}\n", "members", "attempts",
              "exchanges", "entry us/hb", "agent us/hb", "request B", "reply B", "heap B/conn");
@@ -22,5 +22,49 @@
                  cost.m_entry_heap_bytes);
     }
   }
+}
+
+void PrintJobs() {
+  fmt::print("\nopen jobs in the table of an entry, two records each\n");
+  fmt::print("{:>8} {:>10} {:>13} {:>12} {:>10}\n", "jobs", "heap B/job", "us/record", "B/record",
+             "replay s");
+  for (const std::size_t jobs : {1'000U, 10'000U, 100'000U}) {
+    const auto cost = ebonypin::bench::MeasureJobTable(jobs);
+    fmt::print("{:>8} {:>10.0f} {:>13.2f} {:>12.0f} {:>10.3f}\n", cost.m_jobs, cost.m_heap_bytes,
+               cost.m_apply_us, cost.m_record_bytes, cost.m_replay_seconds);
+  }
+}
+
+void PrintConfig() {
+  fmt::print("\nclasses in the table of an entry, one change each\n");
+  fmt::print("{:>8} {:>12} {:>13} {:>14}\n", "classes", "heap B/class", "us/change",
+             "full reply B");
+  for (const std::size_t classes : {10U, 110U, 1'100U}) {
+    const auto cost = ebonypin::bench::MeasureConfig(classes);
+    fmt::print("{:>8} {:>12.0f} {:>13.2f} {:>14.0f}\n", cost.m_classes, cost.m_heap_bytes,
+               cost.m_apply_us, cost.m_full_reply_bytes);
+  }
+}
+
+void PrintFleet() {
+  fmt::print("\nagents in the view of an entry\n");
+  fmt::print("{:>8} {:>12} {:>13} {:>10} {:>13}\n", "agents", "heap B/agent", "us/heartbeat",
+             "us/sweep", "us/placement");
+  for (const std::size_t agents : {11U, 100U, 400U, 690U, 6'900U}) {
+    const auto cost = ebonypin::bench::MeasureFleet(agents);
+    fmt::print("{:>8} {:>12.0f} {:>13.2f} {:>10.1f} {:>13.2f}\n", cost.m_agents, cost.m_heap_bytes,
+               cost.m_heartbeat_us, cost.m_sweep_us, cost.m_placement_us);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("measures the slopes behind docs/CAPACITY.md");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  PrintHeartbeats();
+  PrintJobs();
+  PrintConfig();
+  PrintFleet();
   return 0;
 }
