Check settings at start, with flags over the file and an exact reference

Cause: a wrong setting was found one at a time, without line or remedy, or only when it was used; values had no units and there were no flags. Change: one table of keys drives parsing, flags (--SECTION_KEY), required keys for each role, ranges and docs/settings.md. Every fault is one line with file, line and remedy; the process exits with code 2. Durations and memory carry units, so `worker.memory_mb = 60000` becomes `worker.memory = 60GB`. The daemon logs start and stop as events. Conclusion: a process starts only with settings that are complete and in range.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -17,9 +17,9 @@
   // [process]
   std::string m_role;  ///< "entry" or "agent".
   std::string m_id;    ///< Unique name of this process.
-  std::string m_region;
+  std::string m_region = "main";
   std::string m_domain;           ///< Failure domain.
-  std::string m_http_address;     ///< "ip:port"; entries serve callers here, agents metrics.
+  std::string m_http_address;     ///< "ip:port"; entries serve callers here.
   std::string m_rpc_address;      ///< "ip:port".
   std::string m_metrics_address;  ///< "ip:port"; empty: no metrics.
   std::string m_log_level = "info";
@@ -42,12 +42,30 @@
   friend bool operator==(const Settings&, const Settings&) = default;
 };
 
-/// Reads settings from INI text. `file` is used in messages only. Fails with kBadSetting, naming
-/// file, line and remedy, at the first unknown key, wrong unit or value out of range.
-[[nodiscard]] core::Result<Settings> ParseSettings(const std::string& text,
-                                                   const std::string& file);
+/// Value from the command line that replaces the one in the file.
+struct SettingOverride {
+  std::string m_flag;  ///< "<section>_<key>", for example "log_url".
+  std::string m_value;
+};
+
+/// Reads settings from INI text, then applies `overrides`. `file` is used in messages only. Fails
+/// with kBadSetting and one line for each fault, naming file, line and remedy: unknown section or
+/// key, value of another form or out of range, key missing that the role requires.
+[[nodiscard]] core::Result<Settings> ParseSettings(
+    const std::string& text, const std::string& file,
+    const std::vector<SettingOverride>& overrides = {});
+
+/// Reads settings from the file at `path`, or from `overrides` alone when `path` is empty.
+[[nodiscard]] core::Result<Settings> LoadSettings(
+    const std::string& path, const std::vector<SettingOverride>& overrides = {});
+
+/// Defines one gflags flag for each key. Call once, before gflags parses the command line.
+void DefineSettingFlags();
+
+/// Returns the values of the flags that the command line sets.
+[[nodiscard]] std::vector<SettingOverride> SettingsFromFlags();
 
-/// Reads settings from the file at `path`.
-[[nodiscard]] core::Result<Settings> LoadSettings(const std::string& path);
+/// Returns the table of docs/settings.md.
+[[nodiscard]] std::string SettingsReference();
 
 }  // namespace ebonypin::config
--- /dev/null
+++ b/packages/config/src/setting_keys.cc
@@ -0,0 +1,215 @@
+#include "setting_keys.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <initializer_list>
+#include <utility>
+
+#include "ebonypin/config/values.h"
+
+namespace ebonypin::config {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// What is accepted by a key: how to describe it and how to store it.
+struct Form {
+  std::string m_text;
+  SettingSetter m_set;
+};
+
+Form Name(std::string Settings::*member) {
+  return {std::string{kNameForm}, [member](Settings& settings, const std::string& value) {
+            settings.*member = value;
+            return IsName(value);
+          }};
+}
+
+Form OneOf(std::string Settings::*member, std::vector<std::string> choices) {
+  auto text = fmt::format("{}", fmt::join(choices, " or "));
+  return {std::move(text),
+          [member, choices = std::move(choices)](Settings& settings, const std::string& value) {
+            settings.*member = value;
+            return std::find(choices.begin(), choices.end(), value) != choices.end();
+          }};
+}
+
+/// Address that this process announces to others, so the wildcard is refused.
+Form OwnAddress(std::string Settings::*member) {
+  return {std::string{kAddressForm} + ", not 0.0.0.0 since others connect to it",
+          [member](Settings& settings, const std::string& value) {
+            settings.*member = value;
+            return IsAddress(value) && !value.starts_with("0.0.0.0:");
+          }};
+}
+
+Form ListenAddress(std::string Settings::*member) {
+  return {std::string{kAddressForm}, [member](Settings& settings, const std::string& value) {
+            settings.*member = value;
+            return IsAddress(value);
+          }};
+}
+
+Form AddressList(std::vector<std::string> Settings::*member) {
+  return {"one or more ip:port, separated by commas",
+          [member](Settings& settings, const std::string& value) {
+            auto& list = settings.*member;
+            list.clear();
+            for (std::size_t start = 0; start <= value.size();) {
+              const auto end = std::min(value.find(',', start), value.size());
+              auto part = value.substr(start, end - start);
+              part.erase(0, part.find_first_not_of(' '));
+              part.erase(part.find_last_not_of(' ') + 1);
+              if (!IsAddress(part)) return false;
+              list.push_back(std::move(part));
+              start = end + 1;
+            }
+            return true;
+          }};
+}
+
+Form Url(std::string Settings::*member) {
+  return {std::string{kUrlForm}, [member](Settings& settings, const std::string& value) {
+            settings.*member = value;
+            return IsUrl(value);
+          }};
+}
+
+Form DurationBetween(core::Duration Settings::*member, const core::Duration min,
+                     const core::Duration max) {
+  return {fmt::format("{}, from {} to {}", kDurationForm, FormatDuration(min), FormatDuration(max)),
+          [=](Settings& settings, const std::string& value) {
+            const auto parsed = ParseDuration(value);
+            settings.*member = parsed.value_or(core::Duration{});
+            return parsed && *parsed >= min && *parsed <= max;
+          }};
+}
+
+Form CountBetween(std::uint32_t Settings::*member, const std::int64_t min, const std::int64_t max) {
+  return {fmt::format("a whole number from {} to {}", min, max),
+          [=](Settings& settings, const std::string& value) {
+            const auto parsed = ParseCount(value);
+            if (!parsed || *parsed < min || *parsed > max) return false;
+            settings.*member = static_cast<std::uint32_t>(*parsed);
+            return true;
+          }};
+}
+
+Form CapacityBetween(std::int64_t core::Resources::*member, const std::int64_t min,
+                     const std::int64_t max) {
+  return {fmt::format("a whole number from {} to {}", min, max),
+          [=](Settings& settings, const std::string& value) {
+            const auto parsed = ParseCount(value);
+            settings.m_capacity.*member = parsed.value_or(0);
+            return parsed && *parsed >= min && *parsed <= max;
+          }};
+}
+
+Form MemoryUpTo(std::int64_t core::Resources::*member, const std::int64_t max) {
+  return {fmt::format("{}, from 1MB to {}GB", kMemoryForm, max / 1024),
+          [=](Settings& settings, const std::string& value) {
+            const auto parsed = ParseMemory(value);
+            settings.m_capacity.*member = parsed.value_or(0);
+            return parsed && *parsed >= 1 && *parsed <= max;
+          }};
+}
+
+struct KeyOptions {
+  RequiredBy m_required = RequiredBy::kNobody;
+  std::string m_default;
+  std::string m_example;
+};
+
+SettingKey Key(const std::string& section, const std::string& key, Form form, KeyOptions options,
+               std::string meaning) {
+  if (options.m_example.empty()) options.m_example = options.m_default;
+  return {.m_section = section,
+          .m_key = key,
+          .m_required = options.m_required,
+          .m_default = std::move(options.m_default),
+          .m_form = std::move(form.m_text),
+          .m_example = std::move(options.m_example),
+          .m_meaning = std::move(meaning),
+          .m_set = std::move(form.m_set)};
+}
+
+std::vector<SettingKey> MakeKeys() {
+  using R = core::Resources;
+  using S = Settings;
+  constexpr std::int64_t kMaxMemoryMb = std::int64_t{16} * 1024 * 1024;
+  return {
+      Key("process", "role", OneOf(&S::m_role, {"entry", "agent"}),
+          {.m_required = RequiredBy::kEveryone, .m_example = "entry"},
+          "What this process does: serve callers, or manage one worker."),
+      Key("process", "id", Name(&S::m_id),
+          {.m_required = RequiredBy::kEveryone, .m_example = "entry-1"},
+          "Name of this process, unique in the region. An agent's id is the id of its instance."),
+      Key("process", "region", Name(&S::m_region), {.m_default = "main"},
+          "Region of this process; selects its log stream."),
+      Key("process", "domain", Name(&S::m_domain),
+          {.m_required = RequiredBy::kEveryone, .m_example = "rack-1"},
+          "Failure domain of this process."),
+      Key("process", "rpc", OwnAddress(&S::m_rpc_address),
+          {.m_required = RequiredBy::kEveryone, .m_example = "127.0.0.1:7101"},
+          "Address for other processes of the system."),
+      Key("process", "http", OwnAddress(&S::m_http_address),
+          {.m_required = RequiredBy::kEntry, .m_example = "127.0.0.1:7001"},
+          "Address for callers and operators."),
+      Key("process", "metrics", ListenAddress(&S::m_metrics_address),
+          {.m_example = "127.0.0.1:9101"}, "Address of the Prometheus metrics; none when unset."),
+      Key("process", "log_level", OneOf(&S::m_log_level, {"debug", "info", "warn", "error"}),
+          {.m_default = "info"}, "Lowest level of the events that are logged."),
+      Key("process", "seeds", AddressList(&S::m_seeds),
+          {.m_required = RequiredBy::kAgent, .m_example = "127.0.0.1:7101,127.0.0.1:7102"},
+          "RPC addresses of the load balancer or of entries, to find the others at start."),
+      Key("log", "url", Url(&S::m_log_url),
+          {.m_required = RequiredBy::kEntry, .m_example = "http://127.0.0.1:7400"},
+          "Base URL of the log service."),
+      Key("log", "timeout", DurationBetween(&S::m_log_timeout, 100ms, 60s), {.m_default = "2s"},
+          "Longest wait for one answer of the log service."),
+      Key("log", "max_appends_per_second", CountBetween(&S::m_max_appends_per_second, 1, 10'000),
+          {.m_default = "100"}, "Limit of this entry's appends to the log."),
+      Key("worker", "url", Url(&S::m_worker_url),
+          {.m_required = RequiredBy::kAgent, .m_example = "http://127.0.0.1:7301"},
+          "Base URL of the worker's interface."),
+      Key("worker", "cpu_millis", CapacityBetween(&R::m_cpu_millis, 1, 10'000'000),
+          {.m_required = RequiredBy::kAgent, .m_example = "16000"},
+          "Processors of the worker, in thousandths."),
+      Key("worker", "memory", MemoryUpTo(&R::m_memory_mb, kMaxMemoryMb),
+          {.m_required = RequiredBy::kAgent, .m_example = "60GB"}, "Memory of the worker."),
+      Key("worker", "accelerators", CapacityBetween(&R::m_accelerators, 0, 1024),
+          {.m_default = "0"}, "Accelerators of the worker."),
+      Key("worker", "slots", CountBetween(&S::m_slots, 1, 1024), {.m_default = "8"},
+          "Requests and tasks that the worker runs at once."),
+      Key("worker", "connections", CountBetween(&S::m_connections, 1, 65'535), {.m_default = "64"},
+          "Connections that the worker's endpoint accepts."),
+      Key("policy", "name", OneOf(&S::m_policy, {"ebonypin", "naive"}), {.m_default = "ebonypin"},
+          "Scheduling policy; naive is the baseline of the benchmark."),
+  };
+}
+
+}  // namespace
+
+const std::vector<SettingKey>& SettingKeys() {
+  static const std::vector<SettingKey> keys = MakeKeys();
+  return keys;
+}
+
+std::string FlagName(const SettingKey& key) { return key.m_section + "_" + key.m_key; }
+
+bool IsRequired(const SettingKey& key, const std::string& role) noexcept {
+  switch (key.m_required) {
+    case RequiredBy::kNobody:
+      return false;
+    case RequiredBy::kEntry:
+      return role == "entry";
+    case RequiredBy::kAgent:
+      return role == "agent";
+    case RequiredBy::kEveryone:
+      return true;
+  }
+  return false;
+}
+
+}  // namespace ebonypin::config
--- a/packages/config/src/settings.cc
+++ b/packages/config/src/settings.cc
@@ -1,130 +1,158 @@
 #include "ebonypin/config/settings.h"
 
-#include <ini.h>
+#include <fmt/format.h>
 
-#include <charconv>
-#include <fstream>
-#include <functional>
-#include <map>
-#include <sstream>
+#include <algorithm>
+#include <set>
+
+#include "ini_reader.h"
+#include "setting_keys.h"
 
 namespace ebonypin::config {
 namespace {
 
-using Setter = std::function<bool(Settings&, const std::string&)>;
-
-template <typename T>
-bool ParseNumber(const std::string& text, T& out) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  return error == std::errc{} && end == text.data() + text.size();
+bool IsKnownSection(const std::string& section) {
+  const auto& keys = SettingKeys();
+  return std::any_of(keys.begin(), keys.end(),
+                     [&](const SettingKey& key) { return key.m_section == section; });
 }
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> parts;
-  std::stringstream stream(text);
-  for (std::string part; std::getline(stream, part, ',');) {
-    const auto first = part.find_first_not_of(' ');
-    if (first != std::string::npos)
-      parts.push_back(part.substr(first, part.find_last_not_of(' ') - first + 1));
+std::string SectionList() {
+  std::vector<std::string> sections;
+  for (const auto& key : SettingKeys()) {
+    if (sections.empty() || sections.back() != "[" + key.m_section + "]")
+      sections.push_back("[" + key.m_section + "]");
   }
-  return parts;
-}
-
-Setter Text(std::string Settings::*member) {
-  return [member](Settings& settings, const std::string& value) {
-    settings.*member = value;
-    return !value.empty();
-  };
+  return fmt::format("{}", fmt::join(sections, ", "));
 }
 
-template <typename T>
-Setter Number(T Settings::*member) {
-  return [member](Settings& settings, const std::string& value) {
-    return ParseNumber(value, settings.*member);
-  };
+std::string KeyList(const std::string& section) {
+  std::vector<std::string> names;
+  for (const auto& key : SettingKeys()) {
+    if (key.m_section == section) names.push_back(key.m_key);
+  }
+  return fmt::format("{}", fmt::join(names, ", "));
 }
 
-Setter Quantity(std::int64_t core::Resources::*member) {
-  return [member](Settings& settings, const std::string& value) {
-    return ParseNumber(value, settings.m_capacity.*member) && settings.m_capacity.*member >= 0;
-  };
+const SettingKey* FindKey(const std::string& section, const std::string& name) {
+  const auto& keys = SettingKeys();
+  const auto found = std::find_if(keys.begin(), keys.end(), [&](const SettingKey& key) {
+    return key.m_section == section && key.m_key == name;
+  });
+  return found == keys.end() ? nullptr : &*found;
 }
 
-const std::map<std::string, Setter>& Setters() {
-  static const std::map<std::string, Setter> setters = {
-      {"process.role", Text(&Settings::m_role)},
-      {"process.id", Text(&Settings::m_id)},
-      {"process.region", Text(&Settings::m_region)},
-      {"process.domain", Text(&Settings::m_domain)},
-      {"process.http", Text(&Settings::m_http_address)},
-      {"process.rpc", Text(&Settings::m_rpc_address)},
-      {"process.metrics", Text(&Settings::m_metrics_address)},
-      {"process.log_level", Text(&Settings::m_log_level)},
-      {"process.seeds",
-       [](Settings& settings, const std::string& value) {
-         settings.m_seeds = SplitList(value);
-         return true;
-       }},
-      {"log.url", Text(&Settings::m_log_url)},
-      {"log.max_appends_per_second", Number(&Settings::m_max_appends_per_second)},
-      {"worker.url", Text(&Settings::m_worker_url)},
-      {"worker.cpu_millis", Quantity(&core::Resources::m_cpu_millis)},
-      {"worker.memory_mb", Quantity(&core::Resources::m_memory_mb)},
-      {"worker.accelerators", Quantity(&core::Resources::m_accelerators)},
-      {"worker.slots", Number(&Settings::m_slots)},
-      {"worker.connections", Number(&Settings::m_connections)},
-      {"policy.name", Text(&Settings::m_policy)},
-  };
-  return setters;
+const SettingKey* FindFlag(const std::string& flag) {
+  const auto& keys = SettingKeys();
+  const auto found = std::find_if(keys.begin(), keys.end(),
+                                  [&](const SettingKey& key) { return FlagName(key) == flag; });
+  return found == keys.end() ? nullptr : &*found;
 }
 
-struct ParseState {
+/// Settings so far, the keys that were set and the faults that were found.
+struct Reading {
   Settings m_settings;
-  std::string m_error;
+  std::set<const SettingKey*> m_set;
+  std::vector<std::string> m_faults;
 };
 
-int HandleKey(void* user, const char* section, const char* name, const char* value) {
-  auto& state = *static_cast<ParseState*>(user);
-  const std::string key = std::string{section} + "." + name;
-  const auto found = Setters().find(key);
-  if (found == Setters().end()) {
-    if (state.m_error.empty())
-      state.m_error = "unknown key '" + key + "'; remove it or see docs/settings.md";
-    return 0;
+void ReadSection(const IniSection& section, const std::string& file, Reading& reading) {
+  if (!IsKnownSection(section.m_name)) {
+    reading.m_faults.push_back(
+        At(file, section.m_line,
+           fmt::format("unknown section [{}]; use one of {}", section.m_name, SectionList())));
+    return;
+  }
+  for (const auto& entry : section.m_keys) {
+    const auto* const key = FindKey(section.m_name, entry.m_name);
+    if (key == nullptr) {
+      reading.m_faults.push_back(
+          At(file, entry.m_line,
+             fmt::format("unknown key '{}' in [{}]; use one of {}", entry.m_name, section.m_name,
+                         KeyList(section.m_name))));
+      continue;
+    }
+    reading.m_set.insert(key);
+    if (!key->m_set(reading.m_settings, entry.m_value)) {
+      reading.m_faults.push_back(At(
+          file, entry.m_line,
+          fmt::format("{} = '{}' is refused; write {}", entry.m_name, entry.m_value, key->m_form)));
+    }
   }
-  if (!found->second(state.m_settings, value)) {
-    if (state.m_error.empty()) {
-      state.m_error = "value '" + std::string{value} + "' of '" + key +
-                      "' is out of range; see docs/settings.md";
+}
+
+void ApplyOverrides(const std::vector<SettingOverride>& overrides, Reading& reading) {
+  for (const auto& override : overrides) {
+    const auto* const key = FindFlag(override.m_flag);
+    if (key == nullptr) {
+      reading.m_faults.push_back(
+          fmt::format("--{}: unknown flag; see docs/settings.md", override.m_flag));
+      continue;
     }
-    return 0;
+    reading.m_set.insert(key);
+    if (!key->m_set(reading.m_settings, override.m_value)) {
+      reading.m_faults.push_back(fmt::format("--{}: '{}' is refused; write {}", override.m_flag,
+                                             override.m_value, key->m_form));
+    }
+  }
+}
+
+/// Reports required keys that are not set, at the line of their section.
+void CheckRequired(const IniFile& ini, const std::string& file, Reading& reading) {
+  const auto& role = reading.m_settings.m_role;
+  for (const auto& key : SettingKeys()) {
+    if (!IsRequired(key, role) || reading.m_set.contains(&key)) continue;
+    const auto section =
+        std::find_if(ini.m_sections.begin(), ini.m_sections.end(),
+                     [&](const IniSection& s) { return s.m_name == key.m_section; });
+    const int line = section == ini.m_sections.end() ? ini.m_lines : section->m_line;
+    reading.m_faults.push_back(At(
+        file, line,
+        fmt::format("key '{}' of [{}] is missing{}; add '{} = {}' or pass --{}", key.m_key,
+                    key.m_section,
+                    key.m_required == RequiredBy::kEveryone ? "" : ", role " + role + " needs it",
+                    key.m_key, key.m_example, FlagName(key))));
   }
-  return 1;
 }
 
 }  // namespace
 
-core::Result<Settings> ParseSettings(const std::string& text, const std::string& file) {
-  ParseState state;
-  const int line = ini_parse_string(text.c_str(), HandleKey, &state);
-  if (line != 0) {
-    if (state.m_error.empty())
-      state.m_error = "cannot be parsed; write 'key = value' under a [section]";
-    return core::Fail({.m_kind = core::ErrorKind::kBadSetting,
-                       .m_message = file + ":" + std::to_string(line) + ": " + state.m_error});
+core::Result<Settings> ParseSettings(const std::string& text, const std::string& file,
+                                     const std::vector<SettingOverride>& overrides) {
+  BOOST_LEAF_AUTO(ini, ReadIni(text, file));
+  Reading reading;
+  for (const auto& section : ini.m_sections) ReadSection(section, file, reading);
+  ApplyOverrides(overrides, reading);
+  CheckRequired(ini, file, reading);
+  if (!reading.m_faults.empty()) return core::Fail(BadSetting(reading.m_faults));
+  return std::move(reading.m_settings);
+}
+
+core::Result<Settings> LoadSettings(const std::string& path,
+                                    const std::vector<SettingOverride>& overrides) {
+  if (path.empty()) {
+    if (!overrides.empty()) return ParseSettings("", "command line", overrides);
+    return core::Fail(BadSetting(
+        {"no settings; pass --settings=FILE, see examples/entry.ini and docs/settings.md"}));
   }
-  return state.m_settings;
+  BOOST_LEAF_AUTO(text, ReadText(path));
+  return ParseSettings(text, path, overrides);
 }
 
-core::Result<Settings> LoadSettings(const std::string& path) {
-  const std::ifstream stream(path);
-  if (!stream) {
-    return core::Fail({.m_kind = core::ErrorKind::kBadSetting,
-                       .m_message = path + ": cannot be read; check the path and its permissions"});
+std::string SettingsReference() {
+  std::string table =
+      "| key | flag | required | default | value | meaning |\n|---|---|---|---|---|---|\n";
+  for (const auto& key : SettingKeys()) {
+    const auto required = IsRequired(key, "entry") && IsRequired(key, "agent") ? "yes"
+                          : IsRequired(key, "entry")                           ? "entry"
+                          : IsRequired(key, "agent")                           ? "agent"
+                                                                               : "no";
+    table +=
+        fmt::format("| `[{}] {}` | `--{}` | {} | {} | {} | {} |\n", key.m_section, key.m_key,
+                    FlagName(key), required, key.m_default.empty() ? "" : "`" + key.m_default + "`",
+                    key.m_form, key.m_meaning);
   }
-  std::stringstream text;
-  text << stream.rdbuf();
-  return ParseSettings(text.str(), path);
+  return table;
 }
 
 }  // namespace ebonypin::config
--- a/packages/daemon/src/ebonypind_main.cc
+++ b/packages/daemon/src/ebonypind_main.cc
@@ -4,12 +4,15 @@
 
 #include <chrono>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include "ebonypin/config/settings.h"
+#include "ebonypin/daemon/events.h"
 #include "ebonypin/daemon/role.h"
 
 DEFINE_string(settings, "", "INI file with the settings of this process");
+DEFINE_bool(check, false, "check the settings and exit: 0 when they are valid, 2 when not");
 DEFINE_int32(drain_seconds, 30,
              "longest time a planned stop waits for work in progress, in seconds");
 
@@ -24,11 +27,27 @@
   sigwait(&signals, &signal);
 }
 
+/// Writes each line of `message` to standard error.
+void PrintErrors(const std::string& message) {
+  std::istringstream lines(message);
+  for (std::string line; std::getline(lines, line);) std::cerr << "error: " << line << '\n';
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("runs one process of ebonypin; usage: ebonypind --settings=FILE");
+  namespace config = ebonypin::config;
+  namespace daemon = ebonypin::daemon;
+  gflags::SetUsageMessage(
+      "runs one process of ebonypin\n"
+      "usage: ebonypind --settings=FILE [--SECTION_KEY=VALUE ...] [--check]\n"
+      "exit codes: 0 stopped as planned or settings valid, 2 settings refused, 3 start failed");
+  config::DefineSettingFlags();
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc > 1) {
+    PrintErrors(std::string{"unexpected argument '"} + argv[1] + "'; pass --settings=FILE");
+    return kExitBadSetting;
+  }
 
   sigset_t signals;
   sigemptyset(&signals);
@@ -36,30 +55,45 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-  const auto settings =
-      ebonypin::core::Capture([] { return ebonypin::config::LoadSettings(FLAGS_settings); });
-  if (!settings.Ok()) {
-    std::cerr << "error: " << settings.m_error->m_message << '\n';
+  const auto loaded = ebonypin::core::Capture(
+      [] { return config::LoadSettings(FLAGS_settings, config::SettingsFromFlags()); });
+  if (!loaded.Ok()) {
+    PrintErrors(loaded.m_error->m_message);
     return kExitBadSetting;
   }
-  const auto role = ebonypin::daemon::CreateRole(settings.m_value->m_role, *settings.m_value);
+  const auto& settings = *loaded.m_value;
+  const auto role = daemon::CreateRole(settings.m_role, settings);
   if (role == nullptr) {
-    std::cerr << "error: no role '" << settings.m_value->m_role << "'; set role to one of:";
-    for (const auto& name : ebonypin::daemon::RoleNames()) std::cerr << ' ' << name;
-    std::cerr << '\n';
+    std::string names;
+    for (const auto& name : daemon::RoleNames()) names += ' ' + name;
+    PrintErrors("no role '" + settings.m_role + "' in this program; set role to one of:" + names);
     return kExitBadSetting;
   }
+  if (FLAGS_check) {
+    std::cout << "settings are valid: role " << settings.m_role << ", id " << settings.m_id << '\n';
+    return 0;
+  }
+
+  daemon::ConfigureLogging(settings.m_log_level);
   try {
     role->Start();
   } catch (const std::exception& exception) {
-    std::cerr << "error: " << exception.what() << '\n';
+    daemon::LogEvent(daemon::kStartFailed, {{"reason", exception.what()}});
+    PrintErrors(exception.what());
     return kExitStartFailed;
   }
+  daemon::LogEvent(daemon::kProcessStarted, {{"role", settings.m_role},
+                                             {"id", settings.m_id},
+                                             {"domain", settings.m_domain},
+                                             {"rpc", settings.m_rpc_address},
+                                             {"http", settings.m_http_address}});
   WaitForStopSignal(signals);
+  daemon::LogEvent(daemon::kDrainStarted, {{"limit_s", FLAGS_drain_seconds}});
   role->BeginDrain();
   const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds{FLAGS_drain_seconds};
   while (!role->IsDrained() && std::chrono::steady_clock::now() < give_up) {
     std::this_thread::sleep_for(std::chrono::milliseconds{20});
   }
+  daemon::LogEvent(role->IsDrained() ? daemon::kProcessStopped : daemon::kDrainTimedOut);
   return 0;
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,7 +19,7 @@
 [worker]
 url = http://127.0.0.1:730$i
 cpu_millis = 16000
-memory_mb = 60000
+memory = 60GB
 INI
 done
 cat > "$work/entry.ini" <<INI
@@ -29,6 +29,8 @@
 domain = domain-1
 rpc = 127.0.0.1:7101
 http = 127.0.0.1:7001
+[log]
+url = http://127.0.0.1:7400
 INI
 "$build/bin/ebonypind" --settings="$work/entry.ini" & pids+=($!)
 for i in 1 2; do "$build/bin/ebonypind" --settings="$work/agent$i.ini" & pids+=($!); done
