Fuzz the decoders; bound the length of decoded lists

Cause: libFuzzer found that 440 bytes decode into about 30,000 list elements, since empty elements take no space on the wire and the size limit does not count them. Conclusion: memory use of a decoded message is bounded.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ROUNDS ?= 200
 SECONDS ?= 20
 
-.PHONY: deps build test asan tsan sanitize demo bench faults chaos capacity latency format lint generate clean
+.PHONY: deps fuzz build test asan tsan sanitize demo bench faults chaos capacity latency format lint generate clean
 
 deps:
 	@scripts/deps.sh
@@ -48,6 +48,10 @@
 	@cmake --build $(SANITIZE_BUILD) -j $(JOBS)
 	@TSAN_OPTIONS=halt_on_error=1:suppressions=$(CURDIR)/testing/tsan.supp UBSAN_OPTIONS=halt_on_error=1 ctest --test-dir $(SANITIZE_BUILD) --output-on-failure -j 2 --timeout 600
 
+# Fuzzes each decoder for SECONDS seconds from SEED.
+fuzz: deps
+	@scripts/fuzz.sh $(SECONDS) $(SEED) $(JOBS)
+
 generate:
 	@scripts/generate.sh
 
--- a/packages/wire/src/convert.h
+++ b/packages/wire/src/convert.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "ebonypin/core/messages.h"
+#include "ebonypin/wire/limits.h"
 
 namespace ebonypin::wire {
 
@@ -46,6 +47,11 @@
   return static_cast<E>(value);
 }
 
+/// Throws kj::Exception when a list is longer than kMaxListElements.
+inline void RequireListSize(const unsigned size) {
+  KJ_REQUIRE(size <= kMaxListElements, "list too long", size);
+}
+
 template <typename T>
 [[nodiscard]] unsigned ListSize(const std::vector<T>& list) noexcept {
   return static_cast<unsigned>(list.size());
@@ -137,6 +143,7 @@
 
 template <typename T, typename Reader>
 [[nodiscard]] std::vector<T> GetList(const Reader in) {
+  RequireListSize(in.size());
   std::vector<T> list;
   list.reserve(in.size());
   for (const auto element : in) list.push_back(Get(element));
@@ -150,6 +157,7 @@
 
 template <typename T, typename Reader>
 [[nodiscard]] std::vector<T> GetIds(const Reader in) {
+  RequireListSize(in.size());
   std::vector<T> list;
   list.reserve(in.size());
   for (const auto element : in) list.push_back({GetText(element)});
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -271,6 +271,7 @@
     const auto in = reader.getRoot<schema::LogBatch>();
     batch.m_batch_id = GetText(in.getBatchId());
     batch.m_entry = {GetText(in.getEntry())};
+    RequireListSize(in.getRecords().size());
     batch.m_records.reserve(in.getRecords().size());
     for (const auto record : in.getRecords()) batch.m_records.push_back(Get(record));
   });
--- a/packages/wire/src/rpc.cc
+++ b/packages/wire/src/rpc.cc
@@ -96,7 +96,7 @@
 
 }  // namespace
 
-class Rpc::Impl : public kj::TaskSet::ErrorHandler {
+class Rpc::Impl final : public kj::TaskSet::ErrorHandler {
  public:
   explicit Impl(RpcOptions options) : m_options(std::move(options)) {
     std::promise<std::uint16_t> started;
--- a/packages/wire/tests/codec_test.cc
+++ b/packages/wire/tests/codec_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(AnUnsetDeadlineStaysUnset);
   CPPUNIT_TEST(DamagedBytesAreRefusedWithoutACrash);
   CPPUNIT_TEST(AnUnknownEnumerationValueIsRefused);
+  CPPUNIT_TEST(AnOverlongListIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -81,6 +82,17 @@
     CPPUNIT_ASSERT(!decoded.Ok());
     CPPUNIT_ASSERT(decoded.m_error->m_kind == core::ErrorKind::kBadMessage);
   }
+
+  /// Guards against memory use far beyond the size of a message, found by fuzzing.
+  void AnOverlongListIsRefused() {
+    core::HeartbeatReply reply;
+    reply.m_grants.resize(kMaxListElements + 1);
+    const auto decoded = core::Capture([&] { return DecodeMessage(EncodeMessage(reply)); });
+    CPPUNIT_ASSERT(!decoded.Ok());
+    CPPUNIT_ASSERT(decoded.m_error->m_kind == core::ErrorKind::kBadMessage);
+    reply.m_grants.resize(kMaxListElements);
+    CPPUNIT_ASSERT(core::Capture([&] { return DecodeMessage(EncodeMessage(reply)); }).Ok());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
