Run the jobs of owned shards as a state machine

Cause: nothing decided about attempts, grants and requeues of accepted jobs.

Change: JobOwner takes events of the fold, replies and reports of agents, heartbeats and ticks, and returns records to append, calls of agents and replies to reports. Old records are rewritten behind a renewed claim.

--- a/packages/core/include/ebonypin/core/job_table.h
+++ b/packages/core/include/ebonypin/core/job_table.h
@@ -132,6 +132,10 @@
 /// Returns the trace of the closed job `job`, or nullptr when it is open, unknown or expired.
 [[nodiscard]] const ClosedTrace* FindClosed(const JobTable& table, const JobId& job) noexcept;
 
+/// Returns whether the trace of a job closed at `closed_offset` no longer counts at `offset`, also
+/// when it is still queued for removal.
+[[nodiscard]] bool IsExpired(LogOffset closed_offset, LogOffset offset) noexcept;
+
 /// Returns the job that `key` maps to.
 [[nodiscard]] std::optional<JobId> FindByKey(const JobTable& table, const std::string& key);
 
--- /dev/null
+++ b/packages/core/src/job_owner_shards.cc
@@ -0,0 +1,98 @@
+#include <algorithm>
+#include <utility>
+
+#include "job_owner_steps.h"
+
+namespace ebonypin::core::owner {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A release waits this long for reservations and starts in progress.
+constexpr Duration kReleaseQuiet = 1s;
+constexpr Duration kRewriteInterval = 2s;
+/// Snapshots of a shard in one turn; bounds the share of the log's append rate.
+constexpr std::size_t kSnapshotsPerTurn = 64;
+
+}  // namespace
+
+TaskReportReply NotOwner(const JobTable& table, const ShardIndex shard) {
+  return {.m_not_owner = true, .m_owner = {.m_entry = table.m_shards[shard].m_owner}};
+}
+
+/// Takes over or gives up the shard as the table says.
+void SyncShard(Turn& turn, const ShardIndex shard) {
+  JobOwner& owner = turn.m_owner;
+  const JobTable& table = turn.m_context.m_table;
+  const bool had = owner.m_epochs[shard] != 0;
+  if (!OwnsShard(owner, table, shard)) {
+    owner.m_epochs[shard] = 0;
+    owner.m_releasing[shard].reset();
+    if (!had) return;
+    std::vector<JobId> lost;
+    for (const auto& [id, job] : owner.m_jobs)
+      if (ShardOf(id) == shard) lost.push_back(id);
+    for (const JobId& id : lost) DropJob(turn, id, NotOwner(table, shard));
+    return;
+  }
+  // A renewed claim changes only the epoch.
+  owner.m_epochs[shard] = table.m_shards[shard].m_epoch;
+  owner.m_claim_due[shard] = {};
+  if (had) return;
+  for (const auto& [id, open] : table.m_shards[shard].m_open) TakeJob(turn, open.m_state, true);
+}
+
+void FollowPlan(Turn& turn, const ShardPlan& plan) {
+  JobOwner& owner = turn.m_owner;
+  const JobTable& table = turn.m_context.m_table;
+  const Time now = turn.m_context.m_now;
+  for (const ShardIndex shard : plan.m_claim) {
+    if (owner.m_claim_due[shard] > now) continue;
+    owner.m_claim_due[shard] = now + owner.m_options.m_read_back;
+    turn.m_actions.emplace_back(
+        AppendRecord{ShardClaimed{.m_shard = shard,
+                                  .m_epoch = table.m_shards[shard].m_epoch + 1,
+                                  .m_entry = owner.m_options.m_entry,
+                                  .m_incarnation = owner.m_options.m_incarnation}});
+  }
+  for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
+    const bool leave =
+        owner.m_epochs[shard] != 0 &&
+        std::find(plan.m_release.begin(), plan.m_release.end(), shard) != plan.m_release.end();
+    auto& since = owner.m_releasing[shard];
+    if (!leave) {
+      since.reset();
+    } else if (!since) {
+      since = now;
+      owner.m_release_due[shard] = now + kReleaseQuiet;
+    } else if (now >= owner.m_release_due[shard]) {
+      owner.m_release_due[shard] = now + owner.m_options.m_read_back;
+      turn.m_actions.emplace_back(AppendRecord{ShardReleased{
+          .m_shard = shard, .m_epoch = owner.m_epochs[shard], .m_entry = owner.m_options.m_entry}});
+    }
+  }
+}
+
+void RewriteOld(Turn& turn, const LogOffset before) {
+  JobOwner& owner = turn.m_owner;
+  const JobTable& table = turn.m_context.m_table;
+  for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
+    if (owner.m_epochs[shard] == 0 || owner.m_releasing[shard] ||
+        owner.m_rewrite_due[shard] > turn.m_context.m_now)
+      continue;
+    owner.m_rewrite_due[shard] = turn.m_context.m_now + kRewriteInterval;
+    // The claim comes first, so that a newcomer knows the epoch by which records are judged.
+    if (table.m_shards[shard].m_claimed_offset < before) {
+      turn.m_actions.emplace_back(
+          AppendRecord{ShardClaimed{.m_shard = shard,
+                                    .m_epoch = owner.m_epochs[shard] + 1,
+                                    .m_entry = owner.m_options.m_entry,
+                                    .m_incarnation = owner.m_options.m_incarnation}});
+      continue;
+    }
+    for (JobSnapshot& snapshot : SnapshotsBefore(table, shard, before, kSnapshotsPerTurn))
+      turn.m_actions.emplace_back(AppendRecord{std::move(snapshot)});
+  }
+}
+
+}  // namespace ebonypin::core::owner
--- a/packages/core/src/job_table.cc
+++ b/packages/core/src/job_table.cc
@@ -14,18 +14,6 @@
 
 ShardState& ShardOfJob(JobTable& table, const JobId& job) { return table.m_shards[ShardOf(job)]; }
 
-JobState TraceState(const JobId& job, const ClosedTrace& trace) {
-  return {.m_job = job,
-          .m_request = {.m_id = trace.m_request, .m_class = trace.m_class, .m_key = trace.m_key},
-          .m_accepted_wall = trace.m_accepted_wall,
-          .m_accepted_offset = trace.m_accepted_offset,
-          .m_last_offset = trace.m_closed_offset,
-          .m_attempt = trace.m_attempt,
-          .m_closed = true,
-          .m_outcome = trace.m_outcome,
-          .m_result = trace.m_result};
-}
-
 void DropOldestResults(JobTable& table) {
   while (table.m_result_bytes > kClosedResultBytes && !table.m_result_order.empty()) {
     const JobId job = std::move(table.m_result_order.front());
@@ -67,11 +55,6 @@
   DropOldestResults(table);
 }
 
-/// Whether a trace closed at `closed_offset` no longer counts, even when it is queued for removal.
-bool Expired(const LogOffset closed_offset, const LogOffset offset) {
-  return closed_offset + kClosedTraceOffsets < offset;
-}
-
 void EraseKey(JobTable& table, const std::string& key, const JobId& job) {
   const auto found = table.m_keys.find(key);
   if (found != table.m_keys.end() && found->second == job) table.m_keys.erase(found);
@@ -89,7 +72,7 @@
 void ExpireTraces(JobTable& table) {
   // Traces learned from snapshots are queued late; they then expire behind younger ones.
   while (!table.m_closed_order.empty() &&
-         Expired(table.m_closed_order.front().first, table.m_offset)) {
+         IsExpired(table.m_closed_order.front().first, table.m_offset)) {
     EraseTrace(table, table.m_closed_order.front().second);
     table.m_closed_order.pop_front();
   }
@@ -115,7 +98,7 @@
     return &open->second;
   }
   if (const auto closed = shard.m_closed.find(job); closed != shard.m_closed.end()) {
-    if (!Expired(closed->second.m_closed_offset, fold.m_offset)) {
+    if (!IsExpired(closed->second.m_closed_offset, fold.m_offset)) {
       closed->second.m_mentioned = fold.m_offset;
       reason = VoidReason::kClosed;
       return nullptr;
@@ -141,7 +124,7 @@
     const auto found = table.m_keys.find(key);
     if (found != table.m_keys.end()) {
       const auto* const trace = FindClosed(table, found->second);
-      if (trace == nullptr || !Expired(trace->m_closed_offset, fold.m_offset)) {
+      if (trace == nullptr || !IsExpired(trace->m_closed_offset, fold.m_offset)) {
         event.m_reason = VoidReason::kDuplicateKey;
         event.m_existing = found->second;
         return;
@@ -339,7 +322,7 @@
   const JobState& state = record.m_state;
   event.m_job = state.m_job;
   event.m_attempt = state.m_attempt;
-  if (state.m_closed && Expired(state.m_last_offset, fold.m_offset)) {
+  if (state.m_closed && IsExpired(state.m_last_offset, fold.m_offset)) {
     event.m_reason = VoidReason::kUnknownJob;
     return;
   }
@@ -420,44 +403,4 @@
   ExpireTraces(table);
 }
 
-const JobState* FindOpen(const JobTable& table, const JobId& job) noexcept {
-  const auto& open = table.m_shards[ShardOf(job)].m_open;
-  const auto found = open.find(job);
-  return found == open.end() ? nullptr : &found->second.m_state;
-}
-
-const ClosedTrace* FindClosed(const JobTable& table, const JobId& job) noexcept {
-  const auto& closed = table.m_shards[ShardOf(job)].m_closed;
-  const auto found = closed.find(job);
-  return found == closed.end() ? nullptr : &found->second;
-}
-
-std::optional<JobId> FindByKey(const JobTable& table, const std::string& key) {
-  const auto found = table.m_keys.find(key);
-  if (found == table.m_keys.end()) return std::nullopt;
-  return found->second;
-}
-
-std::size_t OpenCount(const JobTable& table) noexcept {
-  std::size_t count = 0;
-  for (const ShardState& shard : table.m_shards) count += shard.m_open.size();
-  return count;
-}
-
-std::vector<JobSnapshot> SnapshotsBefore(const JobTable& table, const ShardIndex shard,
-                                         const LogOffset before, const std::size_t limit) {
-  std::vector<JobSnapshot> snapshots;
-  for (const auto& [job, open] : table.m_shards[shard].m_open) {
-    if (snapshots.size() >= limit) return snapshots;
-    if (open.m_recorded < before)
-      snapshots.push_back({.m_state = open.m_state, .m_as_of = table.m_offset});
-  }
-  for (const auto& [job, trace] : table.m_shards[shard].m_closed) {
-    if (snapshots.size() >= limit) return snapshots;
-    if (trace.m_recorded < before && !Expired(trace.m_closed_offset, table.m_offset))
-      snapshots.push_back({.m_state = TraceState(job, trace), .m_as_of = table.m_offset});
-  }
-  return snapshots;
-}
-
 }  // namespace ebonypin::core
