Count the bytes of RPC connections

Cause: the limit of 8 KB/s for control needs the bytes on the connection, which exceed the encoded messages. Change: the RPC streams count what passes; 'make capacity' prints it for each heartbeat exchange.

--- a/packages/bench/src/capacity_heartbeats.cc
+++ b/packages/bench/src/capacity_heartbeats.cc
@@ -7,7 +7,6 @@
 #include <thread>
 #include <vector>
 
-#include "ebonypin/wire/message_codec.h"
 #include "ebonypin/wire/rpc.h"
 #include "thread_cpu.h"
 
@@ -104,13 +103,14 @@
   while (answered < members * rounds && std::chrono::steady_clock::now() < give_up)
     std::this_thread::sleep_for(1ms);
 
-  const auto heartbeat = MakeHeartbeat(0, attempts);
+  const auto bytes = entry.Counters();
+  const auto exchanges = static_cast<double>(bytes.m_served);
   HeartbeatCost cost{
       .m_members = members,
       .m_exchanges = answered,
       .m_entry_cpu_us = entry_cpu.PerMark(),
-      .m_request_bytes = static_cast<double>(wire::EncodedSize(heartbeat)),
-      .m_reply_bytes = static_cast<double>(wire::EncodedSize(MakeReply(heartbeat))),
+      .m_sent_bytes = static_cast<double>(bytes.m_bytes_received) / exchanges,
+      .m_received_bytes = static_cast<double>(bytes.m_bytes_sent) / exchanges,
       .m_entry_heap_bytes = static_cast<double>(HeapBytes() - heap_before) / members};
   for (const auto& span : agent_cpu) cost.m_agent_cpu_us += span.PerMark() / members;
   return cost;
--- a/packages/bench/src/capacity_heartbeats.h
+++ b/packages/bench/src/capacity_heartbeats.h
@@ -9,10 +9,10 @@
 struct HeartbeatCost {
   std::uint32_t m_members = 0;
   std::uint64_t m_exchanges = 0;
-  double m_entry_cpu_us = 0;   ///< Processor time of the entry's RPC thread for each exchange.
-  double m_agent_cpu_us = 0;   ///< Processor time of an agent's RPC thread for each exchange.
-  double m_request_bytes = 0;  ///< Encoded size, without RPC and TCP headers.
-  double m_reply_bytes = 0;
+  double m_entry_cpu_us = 0;  ///< Processor time of the entry's RPC thread for each exchange.
+  double m_agent_cpu_us = 0;  ///< Processor time of an agent's RPC thread for each exchange.
+  double m_sent_bytes = 0;    ///< By the agent for each exchange, without TCP and IP headers.
+  double m_received_bytes = 0;
   double m_entry_heap_bytes = 0;  ///< Heap of client and server for each connection.
 };
 
--- a/packages/wire/include/ebonypin/wire/rpc.h
+++ b/packages/wire/include/ebonypin/wire/rpc.h
@@ -65,6 +65,8 @@
   std::uint64_t m_disconnects = 0;
   std::uint64_t m_reconnects = 0;  ///< Connections replaced after a timeout.
   std::uint64_t m_served = 0;
+  std::uint64_t m_bytes_sent = 0;  ///< Without TCP and IP headers.
+  std::uint64_t m_bytes_received = 0;
 };
 
 /// Server and client on one event loop thread. All members may be used from any thread.
--- a/packages/wire/src/rpc.cc
+++ b/packages/wire/src/rpc.cc
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "counting_stream.h"
 #include "ebonypin/wire/limits.h"
 #include "envelope.h"
 
@@ -138,7 +139,9 @@
             .m_timeouts = m_timeouts,
             .m_disconnects = m_disconnects,
             .m_reconnects = m_reconnects,
-            .m_served = m_served};
+            .m_served = m_served,
+            .m_bytes_sent = m_bytes.m_sent,
+            .m_bytes_received = m_bytes.m_received};
   }
 
   /// Serves a call that arrived; runs on the event loop thread.
@@ -210,7 +213,8 @@
   }
 
   kj::Promise<void> Accept(kj::ConnectionReceiver& listener) {
-    return listener.accept().then([this, &listener](kj::Own<kj::AsyncIoStream>&& stream) {
+    return listener.accept().then([this, &listener](kj::Own<kj::AsyncIoStream>&& accepted) {
+      kj::Own<kj::AsyncIoStream> stream = kj::heap<CountingStream>(kj::mv(accepted), m_bytes);
       auto network = kj::heap<capnp::TwoPartyVatNetwork>(
           *stream, capnp::rpc::twoparty::Side::SERVER, kReaderOptions);
       auto system = kj::heap(
@@ -251,7 +255,8 @@
           // Another call may have connected meanwhile.
           const auto existing = m_connections.find(address);
           if (existing != m_connections.end()) return kj::addRef(*existing->second);
-          auto connection = kj::refcounted<Connection>(kj::mv(stream));
+          auto connection =
+              kj::refcounted<Connection>(kj::heap<CountingStream>(kj::mv(stream), m_bytes));
           auto* const raw = connection.get();
           m_connections.emplace(address, kj::addRef(*connection));
           m_tasks->add(
@@ -335,6 +340,7 @@
   std::atomic<std::uint64_t> m_reconnects{0};
   std::atomic<std::uint64_t> m_served{0};
   std::atomic<std::size_t> m_in_flight{0};
+  ByteCounters m_bytes;
 
   // Used on the event loop thread only.
   kj::AsyncIoContext* m_io = nullptr;
--- a/packages/wire/tests/rpc_test.cc
+++ b/packages/wire/tests/rpc_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CallToAClosedPortIsReportedAsNotSent);
   CPPUNIT_TEST(CallsBeyondTheLimitAreRefusedAsNotSent);
   CPPUNIT_TEST(AServerStopsWhileAClientIsStillConnected);
+  CPPUNIT_TEST(BothEndsCountTheSameBytes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -118,6 +119,20 @@
                      nullptr);
     }
   }
+
+  /// Guards against a control traffic figure that leaves out one direction.
+  void BothEndsCountTheSameBytes() {
+    Rpc server({.m_listen_ip = "127.0.0.1",
+                .m_handler = [](const core::Message&, const ReplyFunction& reply) {
+                  reply(core::CancelReply{});
+                }});
+    Rpc client({});
+    const core::CancelRequest request{.m_job = {std::string(1000, 'j')}};
+    CPPUNIT_ASSERT(CallAndWait(client, AddressOf(server), request, 5s).GetError() == nullptr);
+    CPPUNIT_ASSERT(client.Counters().m_bytes_sent > 1000);
+    CPPUNIT_ASSERT_EQUAL(server.Counters().m_bytes_sent, client.Counters().m_bytes_received);
+    CPPUNIT_ASSERT(server.Counters().m_bytes_received > 1000);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RpcTest);
