Test a cancellation read back with its assignment

Cause: the test did not fail when a cancelled job was started, because both records were never read back together.

Conclusion: cancelled work does not start.

--- a/packages/core/tests/job_owner_test.cc
+++ b/packages/core/tests/job_owner_test.cc
@@ -49,14 +49,16 @@
 
   OwnerContext Context() { return {.m_table = m_table, .m_policy = m_policy, .m_now = m_now}; }
 
-  /// Appends a record and reads it back.
-  void Write(LogRecord record) {
-    m_log.push_back(record);
+  /// Appends records as one batch and reads it back.
+  void Write(std::vector<LogRecord> records) {
+    m_log.insert(m_log.end(), records.begin(), records.end());
     std::vector<JobEvent> events;
-    Apply(m_table, m_log.size(),
-          {.m_batch_id = std::to_string(m_log.size()), .m_records = {std::move(record)}}, events);
+    const LogOffset offset = m_table.m_offset + 1;
+    Apply(m_table, offset, {.m_batch_id = std::to_string(offset), .m_records = std::move(records)},
+          events);
     Perform(OnJobEvents(m_owner, Context(), events));
   }
+  void Write(LogRecord record) { Write(std::vector<LogRecord>{std::move(record)}); }
 
   void Perform(const OwnerActions& actions) {
     for (const OwnerAction& action : actions) {
@@ -302,7 +304,13 @@
     scene.Accept(second, "render");
     scene.m_log_up = false;
     scene.Answer(scene.Take<ReserveRequest>(), ReserveReply{.m_granted = true});
-    scene.Write(JobCancelled{.m_job = second});
+    // Both records are read back together, so the cancellation is known before the start.
+    scene.Write({JobAssigned{.m_job = second,
+                             .m_attempt = 1,
+                             .m_epoch = 1,
+                             .m_agent = kAgent,
+                             .m_agent_incarnation = 7},
+                 JobCancelled{.m_job = second}});
     scene.Pass(100ms);
     CPPUNIT_ASSERT(scene.m_calls.empty());
   }
