Name the owner's placement apart from the policy's

Cause: job_owner.h and placement.h both defined Placement, so that no file could include both.

Change: the owner's types are OwnerPlacement and OwnerPlacementKind.

Conclusion: the daemon can use both headers.

--- a/packages/core/include/ebonypin/core/job_owner.h
+++ b/packages/core/include/ebonypin/core/job_owner.h
@@ -45,10 +45,10 @@
 };
 
 /// Where to run a job.
-enum class PlacementKind : std::uint8_t { kAgent, kLater, kNeverFits };
+enum class OwnerPlacementKind : std::uint8_t { kAgent, kLater, kNeverFits };
 
-struct Placement {
-  PlacementKind m_kind = PlacementKind::kLater;
+struct OwnerPlacement {
+  OwnerPlacementKind m_kind = OwnerPlacementKind::kLater;
   AgentId m_agent;                ///< For kAgent.
   Incarnation m_incarnation = 0;  ///< For kAgent.
   std::string m_reason;           ///< For kNeverFits: the missing resource, for the caller.
@@ -57,7 +57,7 @@
 /// Decisions and knowledge that the state machine asks for.
 struct OwnerPolicy {
   /// Chooses an agent. Must be set.
-  std::function<Placement(const JobState&)> m_place;
+  std::function<OwnerPlacement(const JobState&)> m_place;
   /// Returns the class in force, or nullptr. Jobs of unknown classes count as exclusive and
   /// non-idempotent. Must be set.
   std::function<const ClassSpec*(const ClassName&)> m_class;
--- a/packages/core/src/job_owner_steps.cc
+++ b/packages/core/src/job_owner_steps.cc
@@ -68,7 +68,7 @@
   return turn.m_context.m_now + slack;
 }
 
-void SendReserve(Turn& turn, const JobState& state, OwnedJob& job, const Placement& place) {
+void SendReserve(Turn& turn, const JobState& state, OwnedJob& job, const OwnerPlacement& place) {
   ReadClass(turn, state, job);
   job.m_agent = place.m_agent;
   job.m_agent_incarnation = place.m_incarnation;
@@ -140,16 +140,16 @@
       Wait(turn, id, job, kMaxBackoff);
       continue;
     }
-    const Placement place = turn.m_context.m_policy.m_place(*state);
+    const OwnerPlacement place = turn.m_context.m_policy.m_place(*state);
     switch (place.m_kind) {
-      case PlacementKind::kAgent:
+      case OwnerPlacementKind::kAgent:
         SendReserve(turn, *state, job, place);
         break;
-      case PlacementKind::kLater:
+      case OwnerPlacementKind::kLater:
         // The job leaves the ready queue for a while, so that it does not block those behind it.
         Wait(turn, id, job, Backoff(job.m_failures++));
         break;
-      case PlacementKind::kNeverFits:
+      case OwnerPlacementKind::kNeverFits:
         job.m_attempt = state->m_attempt;
         Finish(turn, *state, job, JobOutcome::kNeverFits, place.m_reason);
         break;
--- a/packages/core/tests/job_owner_test.cc
+++ b/packages/core/tests/job_owner_test.cc
@@ -34,9 +34,10 @@
     m_classes[{"sync"}] = {.m_name = {"sync"}};
     m_policy = {.m_place =
                     [](const JobState& job) {
-                      if (job.m_request.m_payload == "huge") return Placement{};
-                      return Placement{
-                          .m_kind = PlacementKind::kAgent, .m_agent = kAgent, .m_incarnation = 7};
+                      if (job.m_request.m_payload == "huge") return OwnerPlacement{};
+                      return OwnerPlacement{.m_kind = OwnerPlacementKind::kAgent,
+                                            .m_agent = kAgent,
+                                            .m_incarnation = 7};
                     },
                 .m_class =
                     [this](const ClassName& name) {
