Serve the HTTP API from log order

Cause: the entry passed requests to agents and knew neither jobs, classes nor peers.

Change: the entry role is split into the HTTP server with its routes, services for configuration, jobs, watches, synchronous requests and members, each with its own lock, and a stream class that joins writer, tail and fold.

--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -1,182 +1,178 @@
-/// Entry: accepts callers' requests over HTTP and passes them to agents.
-#include <cpprest/http_listener.h>
-
+/// Entry: accepts callers' work and operators' changes over HTTP and passes work to agents.
 #include <atomic>
-#include <map>
 #include <memory>
-#include <mutex>
-#include <optional>
 #include <stdexcept>
+#include <utility>
 
 #include "../address.h"
+#include "api_routes.h"
 #include "ebonypin/daemon/role.h"
-#include "ebonypin/wire/rpc.h"
 
 namespace ebonypin::daemon {
 namespace {
 
 using namespace std::chrono_literals;
-using web::http::http_request;
-using web::json::value;
-
-constexpr core::Duration kDefaultDeadline = 10s;
-constexpr auto kSuspectAfter = 3s;
-
-/// What this entry knows of one agent.
-struct AgentView {
-  core::Heartbeat m_heartbeat;
-  std::chrono::steady_clock::time_point m_last_heard;
-  std::uint32_t m_in_flight = 0;
-};
 
-int HttpStatusOf(const core::RunReply& reply) {
-  if (reply.m_kind == core::AnswerKind::kDone) return web::http::status_codes::OK;
-  if (reply.m_kind == core::AnswerKind::kUnknown) return web::http::status_codes::GatewayTimeout;
-  return web::http::status_codes::ServiceUnavailable;
-}
-
-value ErrorToJson(const core::Error& error) {
-  value json = value::object();
-  json["kind"] = value::string(std::string{core::ErrorKindName(error.m_kind)});
-  json["message"] = value::string(error.m_message);
-  return json;
-}
+constexpr core::Duration kTickInterval = 1s;
+constexpr core::Duration kAliveInterval = 30s;
 
 class EntryRole final : public Role {
  public:
-  explicit EntryRole(config::Settings settings) : m_settings(std::move(settings)) {}
+  explicit EntryRole(config::Settings settings)
+      : m_settings(std::move(settings)),
+        m_self{.m_entry = {m_settings.m_id},
+               .m_incarnation = NewIncarnation(),
+               .m_rpc_address = m_settings.m_rpc_address,
+               .m_http_address = m_settings.m_http_address},
+        m_log(platform::NewHttpLogService(m_settings.m_log_url, m_settings.m_log_timeout)),
+        m_http(m_settings.m_http_address),
+        m_config([this] { OnConfigChange(); }),
+        m_jobs(m_timers, {.m_entry = m_self.m_entry, .m_incarnation = m_self.m_incarnation}, {}),
+        m_watches(m_timers),
+        m_requests(m_timers, Caller(), {.m_placement = {.m_own_domain = {m_settings.m_domain}}},
+                   m_self.m_incarnation),
+        m_members({.m_self = m_self, .m_seeds = m_settings.m_seeds}, Caller(), m_config, m_jobs,
+                  m_requests) {}
 
   ~EntryRole() override {
-    if (m_http) m_http->close().wait();
+    m_stopping = true;
+    m_timers.Stop();
+    m_events.Stop();
+    // Ends what still waits for the log, while answers can still be sent.
+    m_region_log.reset();
+    m_config_log.reset();
+    m_rpc.reset();
   }
 
   void Start() override {
+    if (m_settings.m_log_url.empty()) {
+      throw std::runtime_error("an entry needs the log service; set [log] url");
+    }
     const auto rpc = ParseAddress(m_settings.m_rpc_address, "process.rpc");
+    (void)ParseAddress(m_settings.m_http_address, "process.http");
     m_rpc = std::make_unique<wire::Rpc>(wire::RpcOptions{
         .m_listen_ip = rpc.m_ip,
         .m_listen_port = rpc.m_port,
         .m_handler = [this](core::Message message, const wire::ReplyFunction& reply) {
-          reply(ServePeer(std::move(message)));
+          ServePeer(std::move(message), reply);
         }});
-    m_http = std::make_unique<web::http::experimental::listener::http_listener>(
-        "http://" + m_settings.m_http_address);
-    m_http->support(web::http::methods::POST,
-                    [this](http_request request) { ServeCaller(request); });
-    m_http->open().wait();
+    OpenLogs();
+    const EntryParts parts{m_settings.m_region, m_settings.m_domain, m_timers,  m_http,
+                           *m_region_log,       *m_config_log,       m_config,  m_jobs,
+                           m_watches,           m_requests,          m_members, m_draining};
+    AddWorkRoutes(parts);
+    AddWatchRoutes(parts);
+    AddConfigRoutes(parts);
+    AddOperationRoutes(parts);
+    m_http.Open();
+    m_events.Every(kTickInterval, [this] {
+      m_requests.Sweep();
+      m_members.Tick();
+    });
+    m_events.Every(kAliveInterval, [this] { m_members.AppendAlive(); });
   }
 
-  void BeginDrain() override { m_draining = true; }
+  void BeginDrain() override {
+    m_draining = true;
+    m_watches.EndWaits();
+    m_events.Post([this] { m_members.Leave(); });
+  }
 
-  [[nodiscard]] bool IsDrained() const override { return m_requests == 0; }
+  [[nodiscard]] bool IsDrained() const override {
+    return m_http.Counters().m_in_progress == 0 && m_region_log->Pending() == 0 &&
+           m_config_log->Pending() == 0 && m_members.HasHandedOver();
+  }
 
  private:
-  core::Message ServePeer(core::Message message) {
-    if (auto* const heartbeat = std::get_if<core::Heartbeat>(&message)) {
-      const std::lock_guard lock(m_mutex);
-      auto& view = m_agents[heartbeat->m_agent];
-      view.m_heartbeat = std::move(*heartbeat);
-      view.m_last_heard = std::chrono::steady_clock::now();
-      return core::HeartbeatReply{};
-    }
-    return core::Error{
-        .m_kind = core::ErrorKind::kBadMessage,
-        .m_message = "an entry does not serve this message; check that versions match"};
+  RpcCaller Caller() {
+    return [this](std::string address, core::Message request, const core::Duration deadline,
+                  wire::CallDone done) {
+      if (m_stopping) return;
+      m_rpc->Call(std::move(address), std::move(request), deadline, std::move(done));
+    };
   }
 
-  /// Chooses the agent with the fewest requests in flight and counts one more there.
-  std::optional<core::Heartbeat> Choose() {
-    const std::lock_guard lock(m_mutex);
-    AgentView* best = nullptr;
-    const auto now = std::chrono::steady_clock::now();
-    for (auto& [id, view] : m_agents) {
-      if (view.m_heartbeat.m_load.m_draining || now - view.m_last_heard > kSuspectAfter) continue;
-      if (best == nullptr || view.m_in_flight < best->m_in_flight) best = &view;
-    }
-    if (best == nullptr) return std::nullopt;
-    ++best->m_in_flight;
-    return best->m_heartbeat;
+  [[nodiscard]] platform::LogWriterOptions WriterOptions(const std::string& stream) const {
+    return {.m_stream = stream,
+            .m_commit = {.m_entry = m_self.m_entry,
+                         .m_incarnation = m_self.m_incarnation,
+                         .m_max_appends_per_second = m_settings.m_max_appends_per_second}};
+  }
+
+  void OpenLogs() {
+    const auto region = m_settings.m_region.empty() ? "main" : m_settings.m_region;
+    m_region_log = std::make_unique<LogStream>(
+        *m_log, m_timers,
+        LogStreamOptions{.m_writer = WriterOptions("jobs." + region),
+                         .m_readers = {m_jobs.Reader(), m_watches.Reader(), m_members.Reader()}});
+    m_config_log = std::make_unique<LogStream>(
+        *m_log, m_timers,
+        LogStreamOptions{
+            .m_writer = WriterOptions("config"),
+            .m_readers = {m_config.Reader()},
+            .m_on_bad_entry = [this](const core::LogOffset offset, const core::Error& error) {
+              m_config.OnBadEntry(offset, error);
+            }});
+    m_jobs.SetStream(m_region_log.get());
+    m_members.SetStream(m_region_log.get());
+    m_config.SetStream(m_config_log.get());
+    m_config_log->Start();
+    m_region_log->Start();
   }
 
-  void ServeCaller(http_request request) {
-    ++m_requests;
-    request.extract_json(true).then([this, request](const pplx::task<value>& body) {
-      try {
-        Dispatch(request, body.get());
-      } catch (const std::exception& exception) {
-        Answer(request, {.m_kind = core::AnswerKind::kNotRun,
-                         .m_error = {.m_kind = core::ErrorKind::kInvalidRequest,
-                                     .m_message = std::string{"cannot read the request: "} +
-                                                  exception.what() + "; send a JSON object"}});
+  /// Runs on the RPC thread. What takes longer than a lookup is left to the events thread.
+  void ServePeer(core::Message message, const wire::ReplyFunction& reply) {
+    m_events.Post([this, message = std::move(message), reply] {
+      if (const auto* const heartbeat = std::get_if<core::Heartbeat>(&message)) {
+        reply(OnAgent(*heartbeat));
+      } else if (const auto* const entry = std::get_if<core::EntryHeartbeat>(&message)) {
+        reply(m_members.OnHeartbeat(*entry));
+      } else {
+        reply(core::Error{
+            .m_kind = core::ErrorKind::kBadMessage,
+            .m_message = "an entry does not serve this message; check that versions match"});
       }
     });
   }
 
-  void Dispatch(const http_request& request, const value& json) {
-    const core::RunRequest run{
-        .m_request = {json.at("id").as_string()},
-        .m_try = ++m_last_try,
-        .m_class = {json.at("class").as_string()},
-        .m_payload = json.has_field("payload") ? json.at("payload").as_string() : ""};
-    const auto agent = m_draining ? std::nullopt : Choose();
-    if (!agent) {
-      Answer(request, {.m_request = run.m_request,
-                       .m_kind = core::AnswerKind::kNotRun,
-                       .m_error = {.m_kind = core::ErrorKind::kNoCapacity,
-                                   .m_message = "no worker is available; retry in a second"}});
-      return;
+  core::HeartbeatReply OnAgent(const core::Heartbeat& heartbeat) {
+    core::HeartbeatReply reply{.m_drain = m_config.IsDrained(heartbeat.m_agent)};
+    m_requests.OnHeartbeat(heartbeat, reply.m_drain);
+    m_members.OnNamed(heartbeat.m_known_entries);
+    reply.m_entries = m_members.Live();
+    reply.m_config_offset = m_config.Offset();
+    if (reply.m_config_offset > heartbeat.m_config_offset) {
+      const auto config = m_config.View();
+      reply.m_config_offset = config.m_offset;
+      for (const auto& [name, spec] : config.m_classes) reply.m_classes.push_back(spec);
     }
-    m_rpc->Call(
-        agent->m_rpc_address, run, kDefaultDeadline,
-        [this, request, run_id = run.m_request, id = agent->m_agent](wire::CallResult result) {
-          {
-            const std::lock_guard lock(m_mutex);
-            --m_agents[id].m_in_flight;
-          }
-          if (const auto* const reply = result.Get<core::RunReply>()) {
-            Answer(request, *reply);
-            return;
-          }
-          const auto* const error = result.GetError();
-          Answer(request,
-                 {.m_request = run_id,
-                  .m_kind = error != nullptr && error->m_kind == core::ErrorKind::kNoCapacity
-                                ? core::AnswerKind::kNotRun
-                                : core::AnswerKind::kUnknown,
-                  .m_error =
-                      error != nullptr ? *error : core::Error{.m_message = "unexpected reply"}});
-        });
+    return reply;
   }
 
-  void Answer(const http_request& request, const core::RunReply& reply) {
-    value json = value::object();
-    json["id"] = value::string(reply.m_request.m_value);
-    if (reply.m_kind == core::AnswerKind::kDone) {
-      json["answer"] = value::string("done");
-      json["result"] = value::string(reply.m_result);
-    } else {
-      json["answer"] =
-          value::string(reply.m_kind == core::AnswerKind::kNotRun ? "not_run" : "unknown");
-      json["error"] = ErrorToJson(reply.m_error);
-    }
-    request.reply(static_cast<web::http::status_code>(HttpStatusOf(reply)), json)
-        .then([this](const pplx::task<void>& sent) {
-          try {
-            sent.get();
-          } catch (const std::exception&) {
-            // The caller has gone; there is nobody left to tell.
-          }
-          --m_requests;
-        });
+  void OnConfigChange() {
+    m_events.Post([this] {
+      for (const auto& agent : m_requests.Agents()) {
+        m_requests.SetDrained(agent.m_agent, m_config.IsDrained(agent.m_agent));
+      }
+    });
   }
 
   const config::Settings m_settings;
+  const core::EntryInfo m_self;
   std::atomic<bool> m_draining{false};
-  std::atomic<std::uint32_t> m_requests{0};
-  std::atomic<std::uint64_t> m_last_try{0};
-  std::mutex m_mutex;
-  std::map<core::AgentId, AgentView> m_agents;
+  std::atomic<bool> m_stopping{false};
+  const std::unique_ptr<platform::LogService> m_log;
+  EventThread m_timers;  ///< Deadlines of requests and waits.
+  EventThread m_events;  ///< Messages of agents and entries, and periodic work.
+  HttpServer m_http;
+  ConfigService m_config;
+  JobService m_jobs;
+  WatchService m_watches;
+  RequestService m_requests;
+  MemberService m_members;
+  std::unique_ptr<LogStream> m_region_log;
+  std::unique_ptr<LogStream> m_config_log;
   std::unique_ptr<wire::Rpc> m_rpc;
-  std::unique_ptr<web::http::experimental::listener::http_listener> m_http;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterRole(
--- /dev/null
+++ b/packages/daemon/src/entry/http_server.cc
@@ -0,0 +1,141 @@
+#include "http_server.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "event_thread.h"
+
+namespace ebonypin::daemon {
+namespace {
+
+using web::http::http_request;
+using web::http::status_codes;
+
+bool IsPlaceholder(const std::string& part) { return part.starts_with('{'); }
+
+/// Returns the values of the placeholders, or nothing when the path is of another form.
+std::optional<std::vector<std::string>> Match(const Route& route,
+                                              const std::vector<std::string>& path) {
+  if (route.m_parts.size() != path.size()) return std::nullopt;
+  std::vector<std::string> values;
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    if (IsPlaceholder(route.m_parts[i])) {
+      values.push_back(web::uri::decode(path[i]));
+    } else if (route.m_parts[i] != path[i]) {
+      return std::nullopt;
+    }
+  }
+  return values;
+}
+
+core::Error Invalid(const std::string& what) {
+  return {.m_kind = core::ErrorKind::kInvalidRequest, .m_message = what + "; see docs/http_api.md"};
+}
+
+/// Returns why the body cannot be taken. A body without a length has no bound on its memory.
+std::optional<core::Error> CheckBody(const http_request& request) {
+  if (request.headers().has(web::http::header_names::transfer_encoding)) {
+    return Invalid("a body must have a Content-Length");
+  }
+  if (request.headers().content_length() > kMaxBodyBytes) {
+    return core::Error{.m_kind = core::ErrorKind::kTooLarge,
+                       .m_message = "the body is larger than " + std::to_string(kMaxBodyBytes) +
+                                    " bytes; send less or a reference to the data"};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+HttpServer::HttpServer(const std::string& address) : m_listener("http://" + address) {
+  m_listener.support([this](const http_request& request) { Serve(request); });
+}
+
+HttpServer::~HttpServer() {
+  if (m_open) m_listener.close().wait();
+}
+
+void HttpServer::Add(const web::http::method& method, const std::string& path, ApiHandler handler) {
+  m_routes.push_back(
+      {.m_method = method, .m_parts = web::uri::split_path(path), .m_handler = std::move(handler)});
+}
+
+void HttpServer::Open() {
+  m_listener.open().wait();
+  m_open = true;
+}
+
+void HttpServer::Serve(const http_request& request) {
+  ++m_counters.m_calls;
+  ++m_counters.m_in_progress;
+  ApiCall call{.m_arrived = Now()};
+  try {
+    if (const auto error = CheckBody(request)) return Send(request, Refusal(*error));
+    const auto path = web::uri::split_path(request.relative_uri().path());
+    bool known_path = false;
+    for (const auto& route : m_routes) {
+      auto values = Match(route, path);
+      if (!values) continue;
+      known_path = true;
+      if (route.m_method != request.method()) continue;
+      call.m_parts = std::move(*values);
+      for (auto& [name, text] : web::uri::split_query(request.relative_uri().query())) {
+        call.m_query.emplace(web::uri::decode(name), web::uri::decode(text));
+      }
+      return Handle(request, route, std::move(call));
+    }
+    Send(request, Refusal({.m_kind = core::ErrorKind::kNotFound,
+                           .m_message = known_path ? "the path does not support " +
+                                                         request.method() + "; see docs/http_api.md"
+                                                   : "no such path; see docs/http_api.md"}));
+  } catch (const std::exception& exception) {
+    Send(request, Refusal(Invalid(exception.what())));
+  }
+}
+
+void HttpServer::Handle(const http_request& request, const Route& route, ApiCall call) {
+  const auto run = [this, request, &route](const ApiCall& ready) {
+    route.m_handler(ready, [this, request](const ApiAnswer& answer) { Send(request, answer); });
+  };
+  if (request.headers().content_length() == 0) {
+    call.m_body = web::json::value::object();
+    return run(call);
+  }
+  http_request(request).extract_string(true).then(
+      [this, request, run, call = std::move(call)](const pplx::task<std::string>& body) mutable {
+        try {
+          call.m_body = web::json::value::parse(body.get());
+          if (!call.m_body.is_object()) throw std::invalid_argument("the body is not an object");
+          run(call);
+        } catch (const std::exception& exception) {
+          // Handlers throw before they answer or start anything.
+          Send(request, Refusal(Invalid(exception.what())));
+        }
+      });
+}
+
+void HttpServer::Send(const http_request& request, const ApiAnswer& answer) {
+  if (answer.m_status == status_codes::GatewayTimeout) {
+    ++m_counters.m_unknown;
+  } else if (answer.m_status >= status_codes::BadRequest) {
+    ++m_counters.m_refused;
+  }
+  web::http::http_response response(answer.m_status);
+  response.set_body(answer.m_body);
+  if (!answer.m_location.empty()) response.headers().add("Location", answer.m_location);
+  if (answer.m_retry_after > core::Duration{}) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.m_retry_after);
+    response.headers().add("Retry-After", seconds.count());
+  }
+  request.reply(response).then([this](const pplx::task<void>& sent) {
+    try {
+      sent.get();
+    } catch (const std::exception&) {
+      // The caller has gone; there is nobody left to tell.
+    }
+    --m_counters.m_in_progress;
+  });
+}
+
+}  // namespace ebonypin::daemon
--- /dev/null
+++ b/packages/daemon/src/entry/http_server.h
@@ -0,0 +1,56 @@
+/// HTTP listener with routes, size limits and one answer to each call.
+#pragma once
+
+#include <cpprest/http_listener.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http_api.h"
+
+namespace ebonypin::daemon {
+
+/// Route such as "/v1/jobs/{id}"; a part in braces takes any value.
+struct Route {
+  web::http::method m_method;
+  std::vector<std::string> m_parts;
+  ApiHandler m_handler;
+};
+
+struct HttpCounters {
+  std::atomic<std::uint64_t> m_calls{0};
+  std::atomic<std::uint64_t> m_refused{0};  ///< Answers with a status of 400 or more, but for 504.
+  std::atomic<std::uint64_t> m_unknown{0};  ///< Answers with status 504.
+  std::atomic<std::int64_t> m_in_progress{0};
+};
+
+class HttpServer {
+ public:
+  /// `address` is "ip:port".
+  explicit HttpServer(const std::string& address);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Adds a route. Call it before Open.
+  void Add(const web::http::method& method, const std::string& path, ApiHandler handler);
+
+  /// Begins to serve. Throws std::exception when the address is in use.
+  void Open();
+
+  [[nodiscard]] const HttpCounters& Counters() const noexcept { return m_counters; }
+
+ private:
+  void Serve(const web::http::http_request& request);
+  void Handle(const web::http::http_request& request, const Route& route, ApiCall call);
+  void Send(const web::http::http_request& request, const ApiAnswer& answer);
+
+  web::http::experimental::listener::http_listener m_listener;
+  std::vector<Route> m_routes;
+  HttpCounters m_counters;
+  bool m_open = false;
+};
+
+}  // namespace ebonypin::daemon
--- /dev/null
+++ b/packages/daemon/src/entry/rpc_caller.h
@@ -0,0 +1,15 @@
+/// How the parts of an entry send messages, so that they do not depend on the RPC object.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "ebonypin/wire/rpc.h"
+
+namespace ebonypin::daemon {
+
+/// Calls "ip:port" as wire::Rpc::Call does.
+using RpcCaller = std::function<void(std::string address, core::Message request,
+                                     core::Duration deadline, wire::CallDone done)>;
+
+}  // namespace ebonypin::daemon
