Name the owner's placement JobPlacement

Cause: placement.h and job_owner.h both defined core::Placement. Linked into one program that breaks the one-definition rule, and no file can include both.

Change: the struct in job_owner.h is called JobPlacement.

--- a/packages/core/include/ebonypin/core/job_owner.h
+++ b/packages/core/include/ebonypin/core/job_owner.h
@@ -47,7 +47,7 @@
 /// Where to run a job.
 enum class PlacementKind : std::uint8_t { kAgent, kLater, kNeverFits };
 
-struct Placement {
+struct JobPlacement {
   PlacementKind m_kind = PlacementKind::kLater;
   AgentId m_agent;                ///< For kAgent.
   Incarnation m_incarnation = 0;  ///< For kAgent.
@@ -57,7 +57,7 @@
 /// Decisions and knowledge that the state machine asks for.
 struct OwnerPolicy {
   /// Chooses an agent. Must be set.
-  std::function<Placement(const JobState&)> m_place;
+  std::function<JobPlacement(const JobState&)> m_place;
   /// Returns the class in force, or nullptr. Jobs of unknown classes count as exclusive and
   /// non-idempotent. Must be set.
   std::function<const ClassSpec*(const ClassName&)> m_class;
--- a/packages/core/src/job_owner_steps.cc
+++ b/packages/core/src/job_owner_steps.cc
@@ -68,7 +68,7 @@
   return turn.m_context.m_now + slack;
 }
 
-void SendReserve(Turn& turn, const JobState& state, OwnedJob& job, const Placement& place) {
+void SendReserve(Turn& turn, const JobState& state, OwnedJob& job, const JobPlacement& place) {
   ReadClass(turn, state, job);
   job.m_agent = place.m_agent;
   job.m_agent_incarnation = place.m_incarnation;
@@ -140,7 +140,7 @@
       Wait(turn, id, job, kMaxBackoff);
       continue;
     }
-    const Placement place = turn.m_context.m_policy.m_place(*state);
+    const JobPlacement place = turn.m_context.m_policy.m_place(*state);
     switch (place.m_kind) {
       case PlacementKind::kAgent:
         SendReserve(turn, *state, job, place);
--- a/packages/core/tests/job_owner_test.cc
+++ b/packages/core/tests/job_owner_test.cc
@@ -34,8 +34,8 @@
     m_classes[{"sync"}] = {.m_name = {"sync"}};
     m_policy = {.m_place =
                     [](const JobState& job) {
-                      if (job.m_request.m_payload == "huge") return Placement{};
-                      return Placement{
+                      if (job.m_request.m_payload == "huge") return JobPlacement{};
+                      return JobPlacement{
                           .m_kind = PlacementKind::kAgent, .m_agent = kAgent, .m_incarnation = 7};
                     },
                 .m_class =
