Run jobs of owned shards and take reports of agents

Cause: accepted jobs were not assigned.

Change: OwnerService drives core/job_owner.h under the lock of the job table, with its own view of the agents, learned run times and placement; actions are carried out on the events thread. The tail tells when a read reached the end of the stream, which is what owner authority counts from.

Conclusion: reservation, assignment, start, grants and reports go through the entry.

--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -7,6 +7,7 @@
 #include "../address.h"
 #include "api_routes.h"
 #include "ebonypin/daemon/role.h"
+#include "owner_service.h"
 
 namespace ebonypin::daemon {
 namespace {
@@ -15,6 +16,7 @@
 
 constexpr core::Duration kTickInterval = 1s;
 constexpr core::Duration kAliveInterval = 30s;
+constexpr core::Duration kOwnerInterval = 100ms;
 
 class EntryRole final : public Role {
  public:
@@ -27,12 +29,22 @@
         m_log(platform::NewHttpLogService(m_settings.m_log_url, m_settings.m_log_timeout)),
         m_http(m_settings.m_http_address),
         m_config([this] { OnConfigChange(); }),
-        m_jobs(m_timers, {.m_entry = m_self.m_entry, .m_incarnation = m_self.m_incarnation}, {}),
+        m_jobs(m_timers, {.m_entry = m_self.m_entry, .m_incarnation = m_self.m_incarnation},
+               {.m_on_events =
+                    [this](const core::JobTable& table, const std::vector<core::JobEvent>& events) {
+                      m_owner.OnEvents(table, events);
+                    },
+                .m_on_reset = [this] { m_owner.OnReset(); }}),
         m_watches(m_timers),
         m_requests(m_timers, Caller(), {.m_placement = {.m_own_domain = {m_settings.m_domain}}},
                    m_self.m_incarnation),
         m_members({.m_self = m_self, .m_seeds = m_settings.m_seeds}, Caller(), m_config, m_jobs,
-                  m_requests) {}
+                  m_requests),
+        m_owner(m_events,
+                {.m_owner = {.m_entry = m_self.m_entry, .m_incarnation = m_self.m_incarnation},
+                 .m_placement = {.m_own_domain = {m_settings.m_domain}},
+                 .m_seed = m_self.m_incarnation},
+                Caller(), m_config, m_jobs, m_members) {}
 
   ~EntryRole() override {
     m_stopping = true;
@@ -67,8 +79,10 @@
     m_http.Open();
     m_events.Every(kTickInterval, [this] {
       m_requests.Sweep();
+      m_owner.Sweep();
       m_members.Tick();
     });
+    m_events.Every(kOwnerInterval, [this] { m_owner.Tick(); });
     m_events.Every(kAliveInterval, [this] { m_members.AppendAlive(); });
   }
 
@@ -104,7 +118,8 @@
     m_region_log = std::make_unique<LogStream>(
         *m_log, m_timers,
         LogStreamOptions{.m_writer = WriterOptions("jobs." + region),
-                         .m_readers = {m_jobs.Reader(), m_watches.Reader(), m_members.Reader()}});
+                         .m_readers = {m_jobs.Reader(), m_watches.Reader(), m_members.Reader()},
+                         .m_on_end = [this](const core::Time asked) { m_owner.OnLogRead(asked); }});
     m_config_log = std::make_unique<LogStream>(
         *m_log, m_timers,
         LogStreamOptions{
@@ -115,6 +130,7 @@
             }});
     m_jobs.SetStream(m_region_log.get());
     m_members.SetStream(m_region_log.get());
+    m_owner.SetStream(m_region_log.get());
     m_config.SetStream(m_config_log.get());
     m_config_log->Start();
     m_region_log->Start();
@@ -127,6 +143,8 @@
         reply(OnAgent(*heartbeat));
       } else if (const auto* const entry = std::get_if<core::EntryHeartbeat>(&message)) {
         reply(m_members.OnHeartbeat(*entry));
+      } else if (const auto* const report = std::get_if<core::TaskReport>(&message)) {
+        m_owner.OnTaskReport(*report, reply);
       } else {
         reply(core::Error{
             .m_kind = core::ErrorKind::kBadMessage,
@@ -138,6 +156,7 @@
   core::HeartbeatReply OnAgent(const core::Heartbeat& heartbeat) {
     core::HeartbeatReply reply{.m_drain = m_config.IsDrained(heartbeat.m_agent)};
     m_requests.OnHeartbeat(heartbeat, reply.m_drain);
+    reply.m_grants = m_owner.OnHeartbeat(heartbeat, reply.m_drain);
     m_members.OnNamed(heartbeat.m_known_entries);
     reply.m_entries = m_members.Live();
     reply.m_config_offset = m_config.Offset();
@@ -154,6 +173,7 @@
       for (const auto& agent : m_requests.Agents()) {
         m_requests.SetDrained(agent.m_agent, m_config.IsDrained(agent.m_agent));
       }
+      m_owner.OnConfigChange();
     });
   }
 
@@ -170,6 +190,7 @@
   WatchService m_watches;
   RequestService m_requests;
   MemberService m_members;
+  OwnerService m_owner;
   std::unique_ptr<LogStream> m_region_log;
   std::unique_ptr<LogStream> m_config_log;
   std::unique_ptr<wire::Rpc> m_rpc;
--- a/packages/daemon/src/entry/job_service.cc
+++ b/packages/daemon/src/entry/job_service.cc
@@ -47,8 +47,8 @@
 
 }  // namespace
 
-JobService::JobService(EventThread& events, JobServiceOptions options, JobEventsFunction on_events)
-    : m_events(events), m_options(std::move(options)), m_on_events(std::move(on_events)) {}
+JobService::JobService(EventThread& events, JobServiceOptions options, JobTableReader reader)
+    : m_events(events), m_options(std::move(options)), m_reader(std::move(reader)) {}
 
 LogReader JobService::Reader() {
   return {.m_on_batch = [this](const platform::TailBatch& batch) { OnBatch(batch); },
@@ -73,7 +73,7 @@
         m_waits.erase(found);
       }
     }
-    if (m_on_events) m_on_events(m_table, events);
+    if (m_reader.m_on_events) m_reader.m_on_events(m_table, events);
   }
   for (const auto& [wait, view] : ended) wait.m_done(view);
 }
@@ -82,6 +82,7 @@
   const std::lock_guard lock(m_mutex);
   // Records between were lost, so the fold begins anew behind the gap.
   m_table = core::JobTable{.m_partial = true};
+  if (m_reader.m_on_reset) m_reader.m_on_reset();
 }
 
 void JobService::Accept(core::WorkRequest request, std::function<void(const AcceptOutcome&)> done) {
--- a/packages/daemon/src/entry/job_service.h
+++ b/packages/daemon/src/entry/job_service.h
@@ -54,14 +54,18 @@
   core::Incarnation m_incarnation = 0;
 };
 
-/// Called on the tail's thread after each batch, under the table's lock; must not block.
-using JobEventsFunction =
-    std::function<void(const core::JobTable&, const std::vector<core::JobEvent>&)>;
+/// Called on the tail's thread under the table's lock; must not block.
+struct JobTableReader {
+  /// A batch was folded.
+  std::function<void(const core::JobTable&, const std::vector<core::JobEvent>&)> m_on_events;
+  /// The table begins anew behind a gap in the log.
+  std::function<void()> m_on_reset;
+};
 
 /// All members may be used from any thread. Functions passed in are called from any thread.
 class JobService {
  public:
-  JobService(EventThread& events, JobServiceOptions options, JobEventsFunction on_events);
+  JobService(EventThread& events, JobServiceOptions options, JobTableReader reader);
 
   /// Returns the part that folds the stream, and sets the stream that records go to.
   [[nodiscard]] LogReader Reader();
@@ -98,7 +102,7 @@
 
   EventThread& m_events;
   const JobServiceOptions m_options;
-  const JobEventsFunction m_on_events;
+  const JobTableReader m_reader;
   LogStream* m_stream = nullptr;
   mutable std::mutex m_mutex;
   core::JobTable m_table;
--- a/packages/daemon/src/entry/log_stream.cc
+++ b/packages/daemon/src/entry/log_stream.cc
@@ -43,7 +43,11 @@
                                               reader.m_on_gap();
                                           },
                                       .m_on_bad_entry = m_options.m_on_bad_entry,
-                                      .m_on_caught_up = [this] { m_caught_up = true; }});
+                                      .m_on_end =
+                                          [this](const core::Time asked) {
+                                            m_caught_up = true;
+                                            if (m_options.m_on_end) m_options.m_on_end(asked);
+                                          }});
 }
 
 void LogStream::Submit(core::LogRecord record, platform::AppendDone done) {
--- a/packages/daemon/src/entry/log_stream.h
+++ b/packages/daemon/src/entry/log_stream.h
@@ -23,6 +23,8 @@
 struct LogStreamOptions {
   platform::LogWriterOptions m_writer;
   std::vector<LogReader> m_readers;
+  /// See platform::LogTailOptions. May be empty.
+  std::function<void(core::Time)> m_on_end;
   std::function<void(core::LogOffset, const core::Error&)> m_on_bad_entry;
 };
 
--- a/packages/daemon/src/entry/member_service.cc
+++ b/packages/daemon/src/entry/member_service.cc
@@ -1,5 +1,6 @@
 #include "member_service.h"
 
+#include <set>
 #include <utility>
 
 namespace ebonypin::daemon {
@@ -43,8 +44,6 @@
     core::ForgetSilent(m_members, Now());
   }
   SendHeartbeats();
-  // Claims are based on the end of the log; a claim based on less would lose or disturb an owner.
-  if (m_stream->IsCaughtUp() && m_stream->IsReadable()) PlanShards();
 }
 
 core::EntryHeartbeat MemberService::MakeHeartbeat() const {
@@ -101,36 +100,9 @@
   for (const auto& entry : entries) core::OnEntryNamed(m_members, entry, false, Now());
 }
 
-void MemberService::PlanShards() {
-  std::vector<core::LogRecord> records;
-  std::vector<core::ShardIndex> shards;
-  m_jobs.WithTable([&](const core::JobTable& table) {
-    const std::lock_guard lock(m_mutex);
-    const auto& self = m_members.m_self;
-    const auto plan = core::PlanShards(m_members, table, Now());
-    for (const auto shard : plan.m_claim) {
-      if (!m_changing.insert(shard).second) continue;
-      shards.push_back(shard);
-      records.emplace_back(core::ShardClaimed{.m_shard = shard,
-                                              .m_epoch = table.m_shards[shard].m_epoch + 1,
-                                              .m_entry = self.m_entry,
-                                              .m_incarnation = self.m_incarnation});
-    }
-    for (const auto shard : plan.m_release) {
-      if (!m_changing.insert(shard).second) continue;
-      shards.push_back(shard);
-      records.emplace_back(core::ShardReleased{
-          .m_shard = shard, .m_epoch = table.m_shards[shard].m_epoch, .m_entry = self.m_entry});
-    }
-  });
-  for (std::size_t i = 0; i < records.size(); ++i) {
-    m_stream->Submit(std::move(records[i]),
-                     [this, shard = shards[i]](const platform::AppendOutcome&) {
-                       // Whatever became of it shows in the table at the next tick.
-                       const std::lock_guard lock(m_mutex);
-                       m_changing.erase(shard);
-                     });
-  }
+core::ShardPlan MemberService::Plan(const core::JobTable& table) const {
+  const std::lock_guard lock(m_mutex);
+  return core::PlanShards(m_members, table, Now());
 }
 
 void MemberService::AppendAlive() {
--- a/packages/daemon/src/entry/member_service.h
+++ b/packages/daemon/src/entry/member_service.h
@@ -1,9 +1,8 @@
-/// Entries of the region: heartbeats between them and the ownership of shards.
+/// Entries of the region: heartbeats between them and the shards that fall to each.
 #pragma once
 
 #include <functional>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -32,7 +31,7 @@
   [[nodiscard]] LogReader Reader();
   void SetStream(LogStream* stream) { m_stream = stream; }
 
-  /// Sends heartbeats, and claims and releases shards. Call it about once a second.
+  /// Sends heartbeats. Call it about once a second.
   void Tick();
 
   /// Makes this entry known in the log. Call it every 30 s.
@@ -41,6 +40,9 @@
   /// Begins a planned stop: peers get the shards.
   void Leave();
 
+  /// Returns the shards to claim and release. Called under the lock of `table`.
+  [[nodiscard]] core::ShardPlan Plan(const core::JobTable& table) const;
+
   /// Returns whether this entry owns no shard, or nobody else is there to take it.
   [[nodiscard]] bool HasHandedOver() const;
 
@@ -56,7 +58,6 @@
  private:
   void SendHeartbeats();
   void OnReply(const wire::CallResult& result);
-  void PlanShards();
   [[nodiscard]] core::EntryHeartbeat MakeHeartbeat() const;
 
   const std::vector<std::string> m_seeds;
@@ -67,7 +68,6 @@
   LogStream* m_stream = nullptr;
   mutable std::mutex m_mutex;
   core::EntryMembers m_members;
-  std::set<core::ShardIndex> m_changing;  ///< Shards with a claim or release on its way.
 };
 
 }  // namespace ebonypin::daemon
--- /dev/null
+++ b/packages/daemon/src/entry/owner_service.h
@@ -0,0 +1,104 @@
+/// Drives core/job_owner.h: the jobs of the shards that this entry owns.
+///
+/// All state is guarded by the lock of the job table, because every decision reads the table. What
+/// is decided is carried out on the events thread, in order.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config_service.h"
+#include "ebonypin/core/fleet_view.h"
+#include "ebonypin/core/job_owner.h"
+#include "ebonypin/core/offset_clock.h"
+#include "ebonypin/core/placement.h"
+#include "ebonypin/core/run_time_model.h"
+#include "event_thread.h"
+#include "job_service.h"
+#include "log_stream.h"
+#include "member_service.h"
+#include "rpc_caller.h"
+
+namespace ebonypin::daemon {
+
+struct OwnerServiceOptions {
+  core::JobOwnerOptions m_owner;
+  core::PlacementOptions m_placement;
+  std::uint64_t m_seed = 0;
+};
+
+struct OwnerCounters {
+  std::size_t m_owned = 0;
+  std::size_t m_starting = 0;
+  std::size_t m_unresolved = 0;
+};
+
+/// All members but OnEvents and OnReset may be used from any thread.
+class OwnerService {
+ public:
+  OwnerService(EventThread& events, OwnerServiceOptions options, RpcCaller call,
+               ConfigService& config, JobService& jobs, MemberService& members);
+
+  void SetStream(LogStream* stream) { m_stream = stream; }
+
+  /// Takes what a batch did. Called under the table's lock.
+  void OnEvents(const core::JobTable& table, const std::vector<core::JobEvent>& events);
+
+  /// The table begins anew behind a gap in the log. Called under the table's lock.
+  void OnReset();
+
+  /// A read of the log that began at `asked` reached its end.
+  void OnLogRead(core::Time asked);
+
+  /// Returns the grants for the reply to `heartbeat`.
+  [[nodiscard]] std::vector<core::Grant> OnHeartbeat(const core::Heartbeat& heartbeat,
+                                                     bool drained);
+
+  void OnTaskReport(const core::TaskReport& report, wire::ReplyFunction reply);
+
+  /// Takes over classes and drains. Call it after each change of the configuration.
+  void OnConfigChange();
+
+  /// Suspects and removes silent agents. Call it about once a second.
+  void Sweep();
+
+  /// Carries out what is due. Call it every 100 ms.
+  void Tick();
+
+  [[nodiscard]] OwnerCounters Counters() const;
+
+ private:
+  /// Action with what carrying it out needs, collected under the lock.
+  struct Prepared {
+    core::OwnerAction m_action;
+    std::string m_address;        ///< Of the agent to call; empty: unknown.
+    wire::ReplyFunction m_reply;  ///< Of the report to answer.
+  };
+
+  [[nodiscard]] core::JobPlacement Place(const core::JobState& job);
+  [[nodiscard]] core::OwnerContext Context(const core::JobTable& table) const;
+  void Post(core::OwnerActions actions);
+  void Perform(Prepared& prepared);
+  void Call(const core::CallAgent& call, const std::string& address);
+  void OnReply(core::OwnerCallId call, const core::Message& reply);
+
+  EventThread& m_events;
+  const OwnerServiceOptions m_options;
+  const RpcCaller m_call;
+  ConfigService& m_config;
+  JobService& m_jobs;
+  MemberService& m_members;
+  LogStream* m_stream = nullptr;
+  core::JobOwner m_owner;
+  core::OwnerPolicy m_policy;
+  core::FleetView m_fleet;
+  core::ConfigView m_classes;
+  std::mt19937_64 m_random;
+  std::unordered_map<core::ClassName, core::RunTimeModel> m_run_times;
+  core::ReportCallId m_last_report = 0;
+  std::unordered_map<core::ReportCallId, wire::ReplyFunction> m_reports;
+};
+
+}  // namespace ebonypin::daemon
--- a/packages/platform/include/ebonypin/platform/log_tail.h
+++ b/packages/platform/include/ebonypin/platform/log_tail.h
@@ -33,8 +33,9 @@
   std::function<void(const TailGap&)> m_on_gap;      ///< May be empty.
   /// Entry that cannot be decoded, for example one of a newer version. It is passed over.
   std::function<void(core::LogOffset, const core::Error&)> m_on_bad_entry;  ///< May be empty.
-  /// First time that everything in the stream has been read. May be empty.
-  std::function<void()> m_on_caught_up;
+  /// A read that began at the given time reached the end of the stream, and everything that it saw
+  /// was handed on. May be empty.
+  std::function<void(core::Time)> m_on_end;
 };
 
 struct LogTailStatus {
--- a/packages/platform/src/log_tail.cc
+++ b/packages/platform/src/log_tail.cc
@@ -58,17 +58,17 @@
         continue;
       }
       position = HandOn(*chunk.m_value, position);
-      const bool first = !caught_up && position >= chunk.m_value->m_next;
-      caught_up = caught_up || first;
+      const bool at_end = position >= chunk.m_value->m_next;
+      caught_up = caught_up || at_end;
       {
         const std::lock_guard lock(m_mutex);
         ++m_status.m_reads;
         m_status.m_last_read = began;
         m_status.m_position = position;
         m_status.m_first_kept = chunk.m_value->m_first;
-        m_status.m_caught_up = position >= chunk.m_value->m_next;
+        m_status.m_caught_up = at_end;
       }
-      if (first && m_options.m_on_caught_up) m_options.m_on_caught_up();
+      if (at_end && m_options.m_on_end) m_options.m_on_end(began);
     }
   }
 
