Add a chaos tool that judges real processes under faults

Cause: the promises hold so far in tests of single modules only. Change: 'make chaos SECONDS=n SEED=n' starts the log stand-in, 3 entries, 11 workers with agents, sends requests, billed jobs with repeated keys, watch updates and racing class changes, kills and pauses processes, takes the log down, loses answers, then judges the history of callers and workers. The judge shares no code with the scheduler. Before: no check. The tool itself waits for the agent's job path and has not been run against the daemons.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,10 @@
 fuzz: deps
 	@scripts/fuzz.sh $(SECONDS) $(SEED) $(JOBS)
 
+# Plays faults on real processes for SECONDS seconds from SEED and judges what callers and workers saw.
+chaos: build
+	@$(BUILD)/bin/ebonypin_chaos --bin=$(BUILD)/bin --folder=$(BUILD)/chaos --seconds=$(SECONDS) --seed=$(SEED)
+
 generate:
 	@scripts/generate.sh
 
