--- a/packages/core/include/ebonypin/core/placement.h
+++ b/packages/core/include/ebonypin/core/placement.h
@@ -15,6 +15,8 @@
   std::uint32_t m_probes = 8;  ///< Agents compared in one round.
   /// Rounds of probes for a job before it is said that no capacity was found.
   std::uint32_t m_rounds = 4;
+  /// Slots of a worker that jobs leave to short work; its agent refuses a job that would take them.
+  std::uint32_t m_keep_slots = 1;
   /// Price of another failure domain: one round trip over a link of 5 ms.
   Duration m_domain_price = std::chrono::milliseconds{10};
   /// Price of using a worker with accelerators or large memory for work that needs neither.
--- a/packages/core/include/ebonypin/core/slot_plan.h
+++ b/packages/core/include/ebonypin/core/slot_plan.h
@@ -23,7 +23,7 @@
   /// Spare slots per square root of the predicted demand, for random fluctuation.
   double m_spare_factor = 1.0;
   /// Wait after a reduction before the limit grows, so that it does not follow each fluctuation.
-  Duration m_hold = std::chrono::milliseconds{500};
+  Duration m_hold = std::chrono::milliseconds{200};
   /// Time between two growths of one slot.
   Duration m_grow_every = std::chrono::milliseconds{100};
   /// A task throttled for longer is evicted.
--- a/packages/core/src/placement.cc
+++ b/packages/core/src/placement.cc
@@ -79,7 +79,7 @@
   const auto& avoid = search.m_need.m_avoid;
   if (std::find(avoid.begin(), avoid.end(), agent.m_agent) != avoid.end()) return;
   const bool has_room = Fits(search.m_need.m_size, FreeCapacity(agent)) &&
-                        Outstanding(agent) < std::max<std::uint32_t>(agent.m_slots, 1);
+                        Outstanding(agent) + search.m_options.m_keep_slots < agent.m_slots;
   if (search.m_need.m_job && !has_room) return;
   const double cost = CostOf(agent, search.m_options, scarce);
   if (cost < search.m_best.m_cost) search.m_best = {.m_index = index, .m_cost = cost};
