Eject workers that fail what they start

Cause: a worker that fails quickly looks free and draws work. Change: ejection learns outcomes per worker, ejects outliers up to a share of each failure domain, lets single pieces of trial work through after a wait that doubles, and takes the worker back after three successes. Dispatch reports the outcomes of tries when its context names an ejection state.

--- a/packages/bench/src/ebonypin.cc
+++ b/packages/bench/src/ebonypin.cc
@@ -22,6 +22,7 @@
         m_models(world.GetScenario().m_classes.size()),
         m_refused_at(world.m_endpoints.size()) {
     m_options.m_placement.m_own_domain = DomainName(0);
+    m_options.m_hedge = world.With("hedge");
     m_options.m_placement.m_domain_price = 2 * world.GetScenario().m_link.m_remote;
     for (std::uint32_t worker = 0; worker < world.m_endpoints.size(); ++worker) {
       m_agents.push_back(std::make_unique<AgentDriver>(world, worker));
@@ -94,7 +95,8 @@
   }
 
   core::DispatchContext Context() {
-    return {m_fleet, m_options, m_world.m_loop.Now(), m_world.m_random};
+    return {m_fleet, m_options, m_world.m_loop.Now(), m_world.m_random,
+            m_world.With("ejection") ? &m_ejection : nullptr};
   }
 
   void SendHeartbeat(const std::uint32_t worker) {
@@ -108,6 +110,7 @@
       core::ObserveHeartbeat(m_fleet, heartbeat, m_world.m_loop.Now());
     });
     m_world.m_loop.After(kHeartbeat, [this, worker] { SendHeartbeat(worker); });
+    core::SweepEjection(m_ejection, m_fleet, m_world.m_loop.Now());
   }
 
   void Tick() {
@@ -198,6 +201,8 @@
     };
     while (const auto next = core::PopWork(m_queue, can_start)) {
       core::CountSent(m_fleet, *placement.m_agent, next->m_size);
+      core::RecordSent(m_ejection, m_fleet, m_options.m_ejection,
+                       m_fleet.m_agents[*placement.m_agent].m_agent, m_world.m_loop.Now());
       SendReserve(next->m_id, WorkerOf(m_fleet.m_agents[*placement.m_agent].m_agent));
     }
   }
@@ -220,6 +225,7 @@
     Job& job = m_jobs[item];
     if (!granted) {
       m_refused_at[worker] = m_world.m_loop.Now();
+      core::RecordNotRun(m_ejection, m_fleet, AgentName(worker));
       job.m_worker.reset();
       if (!job.m_closed) Enqueue(item);
       return;
@@ -240,6 +246,10 @@
 
   void OnJobEnd(const Task& task, const bool done) {
     Job& job = m_jobs[task.m_id];
+    if (m_world.With("ejection") && job.m_worker) {
+      core::RecordOutcome(m_ejection, m_fleet, m_options.m_ejection, AgentName(*job.m_worker), done,
+                          m_world.m_loop.Now());
+    }
     if (job.m_closed) return;
     job.m_worker.reset();
     if (done) {
@@ -268,6 +278,7 @@
   core::FleetView m_fleet;
   core::DispatchOptions m_options;
   core::DispatchState m_dispatch;
+  core::EjectionState m_ejection;
   core::WorkQueue m_queue;
   core::RunTimeOptions m_run_options;
   std::vector<Job> m_jobs;
--- a/packages/core/include/ebonypin/core/dispatch.h
+++ b/packages/core/include/ebonypin/core/dispatch.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "ebonypin/core/class_spec.h"
+#include "ebonypin/core/ejection.h"
 #include "ebonypin/core/fleet_view.h"
 #include "ebonypin/core/placement.h"
 #include "ebonypin/core/retry_budget.h"
@@ -36,6 +37,7 @@
   RetryBudgetOptions m_retries{.m_ratio = 0.1, .m_capacity = 10.0};
   RetryBudgetOptions m_hedges{.m_ratio = 0.05, .m_capacity = 5.0};
   BackoffOptions m_backoff;
+  EjectionOptions m_ejection;
   std::uint32_t m_max_tries = 4;
   Duration m_default_deadline = std::chrono::seconds{10};
   /// Shortest wait before a hedge; below it a hedge costs more than it saves.
@@ -140,6 +142,8 @@
   const DispatchOptions& m_options;
   Time m_now;
   std::mt19937_64& m_random;
+  /// Learns the outcomes of tries; nullptr switches ejection off.
+  EjectionState* m_ejection = nullptr;
 };
 
 /// A caller's request has arrived. Its class must be of kind kRequest.
--- a/packages/core/src/dispatch.cc
+++ b/packages/core/src/dispatch.cc
@@ -70,6 +70,13 @@
              .m_error = std::move(error)});
 }
 
+/// Tells ejection what became of a try.
+void Outcome(const DispatchContext& context, const AgentId& agent, const bool good) {
+  if (context.m_ejection == nullptr) return;
+  (void)RecordOutcome(*context.m_ejection, context.m_fleet, context.m_options.m_ejection, agent,
+                      good, context.m_now);
+}
+
 /// Returns the latest start that still meets the target and the deadline.
 Duration StartWithin(const DispatchRequest& request, const Time now) {
   const Duration elapsed = std::chrono::duration_cast<Duration>(now - request.m_arrived);
@@ -116,6 +123,10 @@
                         .m_payload = request.m_request.m_payload},
               .m_timeout = left});
   CountSent(context.m_fleet, *placement.m_agent, request.m_request.m_size);
+  if (context.m_ejection != nullptr) {
+    RecordSent(*context.m_ejection, context.m_fleet, context.m_options.m_ejection,
+               request.m_tries.back().m_agent, context.m_now);
+  }
   const DispatchClass& memory = step.m_state.m_classes[request.m_request.m_class];
   request.m_hedge_at.reset();
   if (context.m_options.m_hedge && request.m_idempotent && !request.m_hedged &&
@@ -266,6 +277,11 @@
     return Finish(step);
   }
   const bool was_open = current->m_open;
+  if (reply.m_kind != AnswerKind::kNotRun) {
+    Outcome(context, agent, reply.m_kind == AnswerKind::kDone);
+  } else if (context.m_ejection != nullptr) {
+    RecordNotRun(*context.m_ejection, context.m_fleet, agent);
+  }
   if (!was_open) ++state.m_counters.m_late_replies;
   if (reply.m_kind == AnswerKind::kDone) {
     if (StableHash(reply.m_result) == reply.m_result_hash) {
@@ -307,18 +323,23 @@
   current->m_open = false;
   CountEnded(context.m_fleet, current->m_agent, current->m_incarnation);
   if (failure == CallFailure::kNotSent) {
+    if (context.m_ejection != nullptr) {
+      RecordNotRun(*context.m_ejection, context.m_fleet, current->m_agent);
+    }
     SuspectAgent(context.m_fleet, current->m_agent);
     AfterNotRun(step, ticket, failed_try,
                 {.m_kind = ErrorKind::kNoCapacity,
                  .m_message = "the worker could not be reached; retry in a second",
                  .m_retry_after = 1s});
   } else if (failure == CallFailure::kDisconnected) {
+    Outcome(context, current->m_agent, false);
     SuspectAgent(context.m_fleet, current->m_agent);
     AfterUnknown(step, ticket,
                  {.m_kind = ErrorKind::kDisconnected,
                   .m_message = "the connection to the worker was lost and the work may have run; "
                                "send idempotent work again"});
   } else {
+    Outcome(context, current->m_agent, false);
     AfterUnknown(step, ticket,
                  {.m_kind = ErrorKind::kTimeout,
                   .m_message = "the worker did not answer in time and the work may have run; "
--- /dev/null
+++ b/packages/core/src/ejection.cc
@@ -0,0 +1,129 @@
+#include "ebonypin/core/ejection.h"
+
+#include <algorithm>
+
+namespace ebonypin::core {
+namespace {
+
+/// Outcomes of the whole fleet remembered.
+constexpr double kFleetMemory = 1000.0;
+
+void Remember(double& good, double& bad, const bool is_good, const double memory) {
+  // Nothing fades until the memory is full, so that a few outcomes count as they are.
+  const double keep = good + bad < memory ? 1.0 : 1.0 - 1.0 / memory;
+  good = good * keep + (is_good ? 1.0 : 0.0);
+  bad = bad * keep + (is_good ? 0.0 : 1.0);
+}
+
+bool DomainAllowsOneMore(const FleetView& fleet, const DomainName& domain,
+                         const EjectionOptions& options) {
+  // Rare, because only an agent that is to be ejected gets here.
+  double known = 0.0;
+  double ejected = 0.0;
+  for (const AgentView& agent : fleet.m_agents) {
+    if (!agent.m_present || agent.m_domain != domain) continue;
+    known += 1.0;
+    ejected += agent.m_ejected ? 1.0 : 0.0;
+  }
+  return ejected + 1.0 <= std::max(1.0, options.m_domain_share * known);
+}
+
+bool IsOutlier(const EjectionState& state, const EjectionRecord& record,
+               const EjectionOptions& options) {
+  const double share = record.m_bad / std::max(1.0, record.m_good + record.m_bad);
+  if (record.m_bad < options.m_min_failures || share < options.m_failure_share) return false;
+  const double others_bad = std::max(0.0, state.m_bad - record.m_bad);
+  const double others_good = std::max(0.0, state.m_good - record.m_good);
+  const double others = others_bad / std::max(1.0, others_bad + others_good);
+  return share >= options.m_outlier_factor * others;
+}
+
+void Eject(EjectionRecord& record, FleetView& fleet, const EjectionOptions& options,
+           const AgentId& agent, const Time now) {
+  const auto doublings = std::min<std::uint32_t>(record.m_times, 16);
+  record.m_phase = EjectionPhase::kEjected;
+  record.m_until = now + std::min(options.m_longest, options.m_first * (1U << doublings));
+  record.m_trial_running = false;
+  record.m_trials_good = 0;
+  ++record.m_times;
+  SetEjected(fleet, agent, true);
+}
+
+}  // namespace
+
+EjectionChange RecordOutcome(EjectionState& state, FleetView& fleet, const EjectionOptions& options,
+                             const AgentId& agent, const bool good, const Time now) {
+  const AgentView* const view = FindAgent(fleet, agent);
+  if (view == nullptr) return EjectionChange::kNone;
+  EjectionRecord& record = state.m_records[agent];
+  if (record.m_incarnation != view->m_incarnation) {
+    // A new process at the address does not answer for the former one.
+    record = {.m_incarnation = view->m_incarnation};
+    SetEjected(fleet, agent, false);
+  }
+  if (record.m_phase == EjectionPhase::kServing) {
+    Remember(state.m_good, state.m_bad, good, kFleetMemory);
+    Remember(record.m_good, record.m_bad, good, options.m_memory);
+    if (good || !IsOutlier(state, record, options) ||
+        !DomainAllowsOneMore(fleet, view->m_domain, options)) {
+      return EjectionChange::kNone;
+    }
+    // The outcomes of an ejected worker no longer describe the rest.
+    state.m_bad = std::max(0.0, state.m_bad - record.m_bad);
+    state.m_good = std::max(0.0, state.m_good - record.m_good);
+    Eject(record, fleet, options, agent, now);
+    return EjectionChange::kEjected;
+  }
+  // Outcomes of work that was sent before the ejection decide nothing.
+  if (record.m_phase == EjectionPhase::kEjected || !record.m_trial_running) {
+    return EjectionChange::kNone;
+  }
+  record.m_trial_running = false;
+  if (!good) {
+    Eject(record, fleet, options, agent, now);
+    return EjectionChange::kEjected;
+  }
+  SetEjected(fleet, agent, false);
+  if (++record.m_trials_good < options.m_trials) return EjectionChange::kNone;
+  record = {.m_incarnation = record.m_incarnation};
+  return EjectionChange::kReturned;
+}
+
+void RecordSent(EjectionState& state, FleetView& fleet, const EjectionOptions& options,
+                const AgentId& agent, const Time now) {
+  const auto found = state.m_records.find(agent);
+  if (found == state.m_records.end() || found->second.m_phase != EjectionPhase::kTrial) return;
+  found->second.m_trial_running = true;
+  found->second.m_until = now + options.m_trial_timeout;
+  SetEjected(fleet, agent, true);
+}
+
+void RecordNotRun(EjectionState& state, FleetView& fleet, const AgentId& agent) {
+  const auto found = state.m_records.find(agent);
+  if (found == state.m_records.end() || found->second.m_phase != EjectionPhase::kTrial) return;
+  found->second.m_trial_running = false;
+  SetEjected(fleet, agent, false);
+}
+
+std::vector<AgentId> SweepEjection(EjectionState& state, FleetView& fleet, const Time now) {
+  std::vector<AgentId> trials;
+  std::erase_if(state.m_records,
+                [&fleet](const auto& entry) { return FindAgent(fleet, entry.first) == nullptr; });
+  for (auto& [agent, record] : state.m_records) {
+    const AgentView* const view = FindAgent(fleet, agent);
+    if (record.m_incarnation != view->m_incarnation) {
+      record = {.m_incarnation = view->m_incarnation};
+      SetEjected(fleet, agent, false);
+      continue;
+    }
+    if (record.m_phase == EjectionPhase::kServing || now < record.m_until) continue;
+    if (record.m_phase == EjectionPhase::kTrial && !record.m_trial_running) continue;
+    record.m_phase = EjectionPhase::kTrial;
+    record.m_trial_running = false;
+    SetEjected(fleet, agent, false);
+    trials.push_back(agent);
+  }
+  return trials;
+}
+
+}  // namespace ebonypin::core
