Simulate a worker and its endpoint in the stand-in

Tests need tasks under leases, usage with a lag, faults and a record of every start, none of which the echoing stand-in had.

--- a/packages/standin/src/worker/worker_standin.cc
+++ b/packages/standin/src/worker/worker_standin.cc
@@ -1,27 +1,30 @@
-/// Stand-in for a worker and its endpoint.
-#include <cpprest/http_listener.h>
+/// Registers the worker stand-in.
+#include <gflags/gflags.h>
+
+#include <memory>
 
 #include "ebonypin/standin/standin.h"
+#include "worker_server.h"
+
+DEFINE_uint32(worker_slots, 8, "worker: requests that the endpoint serves at once");
+DEFINE_uint32(worker_usage_lag_ms, 2000, "worker: lag of usage reports in milliseconds");
+DEFINE_double(worker_interference, 0.0,
+              "worker: by how much one task at full share stretches requests, 0.1 for a tenth");
 
 namespace ebonypin::standin {
 namespace {
 
 class WorkerStandin final : public Standin {
  public:
-  explicit WorkerStandin(const std::string& listen) : m_listener("http://" + listen) {}
-  ~WorkerStandin() override { m_listener.close().wait(); }
-
-  void Start() override {
-    m_listener.support(web::http::methods::POST, [](web::http::http_request request) {
-      request.extract_string(true).then([request](const std::string& payload) {
-        return request.reply(web::http::status_codes::OK, "served:" + payload);
-      });
-    });
-    m_listener.open().wait();
-  }
+  explicit WorkerStandin(const std::string& listen)
+      : m_server(listen, {.m_slots = FLAGS_worker_slots,
+                          .m_usage_lag = std::chrono::milliseconds{FLAGS_worker_usage_lag_ms},
+                          .m_interference = FLAGS_worker_interference}) {}
+
+  void Start() override { m_server.Start(); }
 
  private:
-  web::http::experimental::listener::http_listener m_listener;
+  WorkerServer m_server;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterStandin(
