Measure hedging at the 99.9th percentile

Cause: hedging shows nothing at the 99th percentile, because the cases lose only a few messages in a thousand.

--- a/packages/bench/src/case_tools.cc
+++ b/packages/bench/src/case_tools.cc
@@ -22,6 +22,7 @@
   const auto samples = Latencies(scenario, result, index, kPenaltyMs);
   Add(report, scenario, policy, metric + "_p50", "ms", Percentile(samples, 50.0));
   Add(report, scenario, policy, metric + "_p99", "ms", Percentile(samples, 99.0));
+  Add(report, scenario, policy, metric + "_p999", "ms", Percentile(samples, 99.9));
 }
 
 void AddHol(Report& report, const Scenario& scenario, const std::string& policy,
--- a/packages/bench/src/case_tools.h
+++ b/packages/bench/src/case_tools.h
@@ -16,7 +16,7 @@
 void Add(Report& report, const Scenario& scenario, const std::string& policy,
          const std::string& metric, const std::string& unit, double value);
 
-/// Adds the median and the 99th percentile of a class's latency.
+/// Adds the median and the 99th and 99.9th percentiles of a class's latency.
 void AddLatency(Report& report, const Scenario& scenario, const std::string& policy,
                 const std::string& metric, const RunResult& result, std::uint32_t index);
 
