Measure the slope of short demand between means of half a second

Cause: the slope between single samples 200 ms apart follows random fluctuation, so that batch work is throttled without a crest. Change: slot_plan compares the means of the two halves of one second. The benchmark can switch off slope, spare slots, distance price, probing and learned sizes, and set the time that throttling takes.

--- a/packages/bench/src/agent_driver.cc
+++ b/packages/bench/src/agent_driver.cc
@@ -16,6 +16,8 @@
 AgentDriver::AgentDriver(World& world, const std::uint32_t worker)
     : m_world(world), m_worker(worker), m_endpoint(*world.m_endpoints[worker]) {
   m_slot_options.m_reclaim = 2 * m_endpoint.Options().m_throttle_delay;
+  if (!world.With("slope")) m_slot_options.m_slope_span = Duration{0};
+  if (!world.With("spare")) m_slot_options.m_spare_factor = 0.0;
   m_endpoint.m_on_slot = [this] { Pump(); };
   m_endpoint.m_on_end = [this](const Task& task, const bool done) { OnEnd(task, done); };
   m_world.m_loop.After(kTick, [this] { Tick(); });
--- a/packages/bench/src/ebonypin.cc
+++ b/packages/bench/src/ebonypin.cc
@@ -24,6 +24,8 @@
     m_options.m_placement.m_own_domain = DomainName(0);
     m_options.m_hedge = world.With("hedge");
     m_options.m_placement.m_domain_price = 2 * world.GetScenario().m_link.m_remote;
+    if (!world.With("distance")) m_options.m_placement.m_domain_price = Duration{0};
+    if (!world.With("probes")) m_options.m_placement.m_probes = 1;
     for (std::uint32_t worker = 0; worker < world.m_endpoints.size(); ++worker) {
       m_agents.push_back(std::make_unique<AgentDriver>(world, worker));
       m_agents.back()->m_on_job_end = [this, worker](const Task& task, const bool done) {
@@ -177,7 +179,9 @@
     const TraceItem& trace = m_world.Item(item);
     const core::RunTimeModel& model = m_models[trace.m_class];
     const Duration run = core::RunTimeQuantile(model, m_run_options, 0.5, trace.m_declared_run);
-    m_jobs[item].m_size = core::LearnedSize(model, m_run_options, trace.m_declared);
+    m_jobs[item].m_size = m_world.With("learned_size")
+                              ? core::LearnedSize(model, m_run_options, trace.m_declared)
+                              : trace.m_declared;
     core::PushWork(m_queue, {.m_id = item,
                              .m_latest_start = core::LatestStart(
                                  m_world.ClassOf(item).m_spec.m_target, std::nullopt, run,
--- a/packages/bench/src/ebonypin_bench_main.cc
+++ b/packages/bench/src/ebonypin_bench_main.cc
@@ -10,12 +10,14 @@
 DEFINE_string(out, "", "CSV file to write; empty for none");
 DEFINE_string(cases, "", "run only the cases whose name contains this text");
 
+DEFINE_uint32(throttle_ms, 5, "time until a throttled task has freed its slot");
 DEFINE_string(without, "", "mechanisms to switch off, separated by commas; see docs/policy.md");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("ebonypin_bench --seed=N --out=FILE [--cases=TEXT] [--without=LIST]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   ebonypin::bench::Report report;
+  report.m_throttle_delay = std::chrono::milliseconds{FLAGS_throttle_ms};
   std::istringstream names(FLAGS_without);
   for (std::string name; std::getline(names, name, ',');) report.m_without.insert(name);
   for (const auto& one : ebonypin::bench::Cases()) {
--- a/packages/bench/src/report.h
+++ b/packages/bench/src/report.h
@@ -31,6 +31,7 @@
   std::vector<Bound> m_bounds;
   double m_breaches = 0.0;
   Without m_without;
+  Duration m_throttle_delay = std::chrono::milliseconds{5};
 };
 
 [[nodiscard]] bool IsMet(const Bound& bound) noexcept;
--- a/packages/core/include/ebonypin/core/slot_plan.h
+++ b/packages/core/include/ebonypin/core/slot_plan.h
@@ -19,7 +19,7 @@
   /// slots of their own.
   Duration m_reclaim = std::chrono::milliseconds{10};
   /// Span over which the slope of the demand is measured.
-  Duration m_slope_span = std::chrono::milliseconds{200};
+  Duration m_slope_span = std::chrono::seconds{1};
   /// Spare slots per square root of the predicted demand, for random fluctuation.
   double m_spare_factor = 1.0;
   /// Wait after a reduction before the limit grows, so that it does not follow each fluctuation.
--- a/packages/core/src/slot_plan.cc
+++ b/packages/core/src/slot_plan.cc
@@ -6,6 +6,25 @@
 namespace ebonypin::core {
 namespace {
 
+/// Returns the rise per microsecond between the older and the newer half of the span. Means of
+/// halves are compared, because single samples fluctuate by more than a crest rises within the
+/// span.
+double Slope(const std::vector<DemandSample>& samples, const SlotPlanOptions& options,
+             const Time now) {
+  const Duration half = options.m_slope_span / 2;
+  double older = 0.0;
+  double newer = 0.0;
+  double older_count = 0.0;
+  double newer_count = 0.0;
+  for (const DemandSample& sample : samples) {
+    const bool is_newer = now - sample.m_at < half;
+    (is_newer ? newer : older) += sample.m_demand;
+    (is_newer ? newer_count : older_count) += 1.0;
+  }
+  if (older_count == 0.0 || newer_count == 0.0) return 0.0;
+  return (newer / newer_count - older / older_count) / static_cast<double>(half.count());
+}
+
 /// Returns the demand expected once slots decided on now could be taken back.
 double PredictDemand(SlotPlanState& state, const SlotPlanOptions& options,
                      const SlotPlanInput& input) {
@@ -14,12 +33,8 @@
   std::erase_if(samples, [&](const DemandSample& sample) {
     return input.m_now - sample.m_at > options.m_slope_span;
   });
-  double slope = 0.0;
-  if (!samples.empty() && input.m_now > samples.front().m_at) {
-    slope = (demand - samples.front().m_demand) /
-            static_cast<double>((input.m_now - samples.front().m_at).count());
-  }
   samples.push_back({.m_at = input.m_now, .m_demand = demand});
+  const double slope = Slope(samples, options, input.m_now);
   return demand + std::max(0.0, slope) * static_cast<double>(options.m_reclaim.count());
 }
 
