Refuse at the entry what is predicted to start too late

Cause: in overload a request is sent to up to four agents before it is refused. Change: dispatch predicts the wait at the best agent from its reported queue and latency and refuses with Retry-After before sending.

--- a/packages/bench/src/ebonypin.cc
+++ b/packages/bench/src/ebonypin.cc
@@ -22,6 +22,7 @@
         m_models(world.GetScenario().m_classes.size()),
         m_refused_at(world.m_endpoints.size()) {
     m_options.m_placement.m_own_domain = DomainName(0);
+    m_options.m_admission = world.With("admission");
     m_options.m_hedge = world.With("hedge");
     m_options.m_placement.m_domain_price = 2 * world.GetScenario().m_link.m_remote;
     if (!world.With("distance")) m_options.m_placement.m_domain_price = Duration{0};
--- a/packages/core/include/ebonypin/core/dispatch.h
+++ b/packages/core/include/ebonypin/core/dispatch.h
@@ -43,6 +43,8 @@
   /// Shortest wait before a hedge; below it a hedge costs more than it saves.
   Duration m_min_hedge_wait = std::chrono::milliseconds{20};
   bool m_hedge = true;
+  /// Refuses at the entry what the best agent is predicted to start too late.
+  bool m_admission = true;
 };
 
 /// Why a call to an agent ended without a reply.
--- a/packages/core/src/dispatch.cc
+++ b/packages/core/src/dispatch.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "ebonypin/core/admission.h"
+
 namespace ebonypin::core {
 namespace {
 
@@ -87,6 +89,31 @@
   return std::max(left, Duration{0});
 }
 
+/// Refuses work whose start is predicted too late at the best agent that was found. The agent
+/// predicts better, but a refusal here saves the way to it.
+std::optional<Error> RefuseLate(const DispatchContext& context, const DispatchRequest& request,
+                                const AgentView& agent) {
+  if (!context.m_options.m_admission) return std::nullopt;
+  // Slots of batch work count as busy in the report and may be taken back, so that only the queue
+  // of the agent shows that none are left.
+  if (agent.m_load.m_queued == 0 || agent.m_slots == 0) return std::nullopt;
+  const std::uint32_t outstanding = Outstanding(agent);
+  const std::uint32_t queued = outstanding > agent.m_slots ? outstanding - agent.m_slots : 0;
+  // The reported latency contains the wait in the reported queue.
+  const double turns = 1.0 + static_cast<double>(agent.m_load.m_queued) / agent.m_slots;
+  const Duration wait = PredictWait(
+      {.m_slots = agent.m_slots,
+       .m_busy = agent.m_slots,
+       .m_queued = queued,
+       .m_run = Duration{static_cast<std::int64_t>(agent.m_load.m_latency_us / turns)}});
+  return CheckAdmission(
+      {.m_wait = wait,
+       .m_elapsed = std::chrono::duration_cast<Duration>(context.m_now - request.m_arrived),
+       .m_target = {.m_start_within = request.m_target.m_start_within,
+                    .m_finish_within = request.m_target.m_finish_within},
+       .m_deadline = std::chrono::duration_cast<Duration>(request.m_deadline - request.m_arrived)});
+}
+
 /// Returns false, with the reason, when no agent can be tried now.
 bool SendTry(Step& step, const Ticket ticket, DispatchRequest& request, Error& error) {
   const DispatchContext& context = step.m_context;
@@ -98,6 +125,10 @@
     return false;
   }
   const AgentView& agent = context.m_fleet.m_agents[*placement.m_agent];
+  if (auto refusal = RefuseLate(context, request, agent)) {
+    error = std::move(*refusal);
+    return false;
+  }
   const std::uint64_t number = ++step.m_state.m_last_try;
   const Duration left = std::chrono::duration_cast<Duration>(request.m_deadline - context.m_now);
   request.m_tries.push_back({.m_try = number,
--- /dev/null
+++ b/packages/core/tests/admission_test.cc
@@ -0,0 +1,121 @@
+#include "ebonypin/core/admission.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace ebonypin::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Plays the queue slot by slot: busy slots become free one after the other, and each item ahead
+/// holds its slot for the run time.
+Duration PlayedWait(const QueueOutlook& outlook) {
+  std::vector<std::int64_t> free_at(outlook.m_slots, 0);
+  for (std::uint32_t i = 0; i < outlook.m_busy; ++i) {
+    free_at[i] = outlook.m_run.count() * (i + 1) / outlook.m_slots;
+  }
+  for (std::uint32_t ahead = 0; ahead < outlook.m_queued; ++ahead) {
+    *std::min_element(free_at.begin(), free_at.end()) += outlook.m_run.count();
+  }
+  return Duration{*std::min_element(free_at.begin(), free_at.end())};
+}
+
+class AdmissionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionTest);
+  CPPUNIT_TEST(ReclaimableSlotsShortenTheWait);
+  CPPUNIT_TEST(WaitAgreesWithAPlayedQueue);
+  CPPUNIT_TEST(RefusalAgreesWithTheLimits);
+  CPPUNIT_TEST(QuotaIsNeverExceededAndGivenBack);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against refusing short work because batch work holds slots that can be taken back.
+  void ReclaimableSlotsShortenTheWait() {
+    QueueOutlook outlook{.m_slots = 8,
+                         .m_busy = 2,
+                         .m_reclaimable = 6,
+                         .m_queued = 5,
+                         .m_run = 80ms,
+                         .m_reclaim = 10ms};
+    CPPUNIT_ASSERT(PredictWait(outlook) == 10ms);
+    outlook.m_queued = 6;
+    CPPUNIT_ASSERT(PredictWait(outlook) == 20ms);
+    outlook.m_reclaimable = 0;
+    CPPUNIT_ASSERT(PredictWait(outlook) == 10ms);
+  }
+
+  void WaitAgreesWithAPlayedQueue() {
+    CPPUNIT_ASSERT(rc::check("the predicted wait is that of a played queue", [] {
+      const auto slots = *rc::gen::inRange<std::uint32_t>(1, 16);
+      const bool full = *rc::gen::arbitrary<bool>();
+      const QueueOutlook outlook{
+          .m_slots = slots,
+          .m_busy = full ? slots : *rc::gen::inRange<std::uint32_t>(0, slots),
+          // A queue forms only when all slots are busy.
+          .m_queued = full ? *rc::gen::inRange<std::uint32_t>(0, 60) : 0,
+          .m_run = Duration{*rc::gen::inRange(1, 1'000'000)}};
+      const Duration difference = PredictWait(outlook) - PlayedWait(outlook);
+      // Integer division may differ by a microsecond per turn of the queue.
+      RC_ASSERT(std::abs(difference.count()) <= 60);
+    }));
+  }
+
+  /// Compares with a plain statement of the limits, and checks that Retry-After is truthful.
+  void RefusalAgreesWithTheLimits() {
+    CPPUNIT_ASSERT(rc::check("work is refused exactly when waiting makes it late", [] {
+      const auto millis = [](const int from, const int to) {
+        return Duration{std::chrono::milliseconds{*rc::gen::inRange(from, to)}};
+      };
+      AdmissionInput input{.m_wait = millis(0, 100),
+                           .m_run = millis(0, 100),
+                           .m_elapsed = millis(0, 20),
+                           .m_deadline = millis(1, 200)};
+      if (*rc::gen::arbitrary<bool>()) input.m_target.m_start_within = millis(0, 100);
+      if (*rc::gen::arbitrary<bool>()) input.m_target.m_finish_within = millis(0, 200);
+      const Duration start = input.m_elapsed + input.m_wait;
+      const Duration finish = start + input.m_run;
+      const bool hopeless = input.m_elapsed + input.m_run > *input.m_deadline;
+      const bool late =
+          (input.m_target.m_start_within && start > *input.m_target.m_start_within) ||
+          (input.m_wait > Duration{0} &&
+           ((input.m_target.m_finish_within && finish > *input.m_target.m_finish_within) ||
+            finish > *input.m_deadline));
+      const auto refusal = CheckAdmission(input);
+      RC_ASSERT(refusal.has_value() == (hopeless || late));
+      if (!refusal) return;
+      RC_ASSERT(refusal->m_kind ==
+                (hopeless ? ErrorKind::kDeadlineTooShort : ErrorKind::kOverloaded));
+      RC_ASSERT((refusal->m_retry_after > Duration{0}) == !hopeless);
+      if (hopeless || refusal->m_retry_after < input.m_wait) return;
+      // A new request after Retry-After finds the wait gone.
+      AdmissionInput again = input;
+      again.m_wait = Duration{0};
+      again.m_elapsed = Duration{0};
+      RC_ASSERT(!CheckAdmission(again).has_value());
+    }));
+  }
+
+  void QuotaIsNeverExceededAndGivenBack() {
+    QuotaState state;
+    const TeamName team{"t"};
+    SetQuota(state, team, {.m_resources = {.m_cpu_millis = 1000}, .m_items = 3});
+    const Resources size{.m_cpu_millis = 400};
+    CPPUNIT_ASSERT(!TakeQuota(state, team, size));
+    CPPUNIT_ASSERT(!TakeQuota(state, team, size));
+    CPPUNIT_ASSERT(TakeQuota(state, team, size)->m_kind == ErrorKind::kQuotaExceeded);
+    CPPUNIT_ASSERT(!TakeQuota(state, team, {}));
+    CPPUNIT_ASSERT(TakeQuota(state, team, {}).has_value());
+    CPPUNIT_ASSERT(!TakeQuota(state, {"other"}, {.m_cpu_millis = 50000}));
+    ReturnQuota(state, team, size);
+    CPPUNIT_ASSERT(!TakeQuota(state, team, size));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
+
+}  // namespace
+}  // namespace ebonypin::core
--- a/packages/core/tests/dispatch_test.cc
+++ b/packages/core/tests/dispatch_test.cc
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(NotRunIsNeverSaidWhileATryMayHaveRun);
   CPPUNIT_TEST(DeadlineIsAnsweredAtOnce);
   CPPUNIT_TEST(SlowIdempotentWorkIsHedgedAndTheOtherTryCancelled);
+  CPPUNIT_TEST(PredictedLateStartIsRefusedWithoutASend);
   CPPUNIT_TEST(CancelIsAnsweredAndReachesTheAgent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -217,6 +218,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{31}, entry.m_answers.size());
   }
 
+  /// Guards against work that is accepted although its start is predicted too late.
+  void PredictedLateStartIsRefusedWithoutASend() {
+    Entry entry(2);
+    for (AgentView& agent : entry.m_fleet.m_agents) {
+      agent.m_load = {.m_slots_busy = 8, .m_queued = 40, .m_latency_us = 480'000};
+    }
+    const ClassSpec spec{.m_name = {"preview"}, .m_target = {.m_start_within = 100ms}};
+    const WorkRequest request{.m_id = {"r"}, .m_class = spec.m_name};
+    entry.Take(OnRequest(entry.m_state, entry.Context(), 1, request, spec));
+    CPPUNIT_ASSERT(entry.m_runs.empty());
+    const Answer& answer = entry.m_answers.at(0).m_answer;
+    CPPUNIT_ASSERT(answer.m_kind == AnswerKind::kNotRun);
+    CPPUNIT_ASSERT(answer.m_error->m_kind == ErrorKind::kOverloaded);
+    CPPUNIT_ASSERT(answer.m_error->m_retry_after > 0s);
+    entry.Send(2, "without-a-target");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.m_runs.size());
+  }
+
   void CancelIsAnsweredAndReachesTheAgent() {
     Entry entry(2);
     entry.Send(1, "r");
