--- a/packages/bench/src/case_tools.cc
+++ b/packages/bench/src/case_tools.cc
@@ -6,7 +6,9 @@
 
 RunResult PlayAndCount(Report& report, const Scenario& scenario, const std::string& policy,
                        const MakePolicy make, const std::uint64_t seed) {
-  World world(scenario, seed, report.m_without);
+  Scenario played = scenario;
+  played.m_endpoint.m_throttle_delay = report.m_throttle_delay;
+  World world(played, seed, report.m_without);
   RunResult result = world.Play(make);
   AddCommonFigures(report, scenario.m_name, policy, result);
   return result;
@@ -22,6 +24,7 @@
   const auto samples = Latencies(scenario, result, index, kPenaltyMs);
   Add(report, scenario, policy, metric + "_p50", "ms", Percentile(samples, 50.0));
   Add(report, scenario, policy, metric + "_p99", "ms", Percentile(samples, 99.0));
+  Add(report, scenario, policy, metric + "_p999", "ms", Percentile(samples, 99.9));
 }
 
 void AddHol(Report& report, const Scenario& scenario, const std::string& policy,
