--- a/packages/daemon/src/entry/owner_service.cc
+++ b/packages/daemon/src/entry/owner_service.cc
@@ -37,18 +37,19 @@
   };
 }
 
-core::JobPlacement OwnerService::Place(const core::JobState& job) {
+core::OwnerPlacement OwnerService::Place(const core::JobState& job) {
   const auto placed = core::PlaceWork(m_fleet, m_options.m_placement,
                                       {.m_size = job.m_request.m_size, .m_job = true}, m_random);
   if (!placed.m_agent) {
     const bool never = placed.m_error.m_kind == core::ErrorKind::kNeverFits;
-    return {.m_kind = never ? core::PlacementKind::kNeverFits : core::PlacementKind::kLater,
-            .m_reason = placed.m_error.m_message};
+    return {
+        .m_kind = never ? core::OwnerPlacementKind::kNeverFits : core::OwnerPlacementKind::kLater,
+        .m_reason = placed.m_error.m_message};
   }
   const auto& agent = m_fleet.m_agents[*placed.m_agent];
-  core::JobPlacement placement{.m_kind = core::PlacementKind::kAgent,
-                               .m_agent = agent.m_agent,
-                               .m_incarnation = agent.m_incarnation};
+  core::OwnerPlacement placement{.m_kind = core::OwnerPlacementKind::kAgent,
+                                 .m_agent = agent.m_agent,
+                                 .m_incarnation = agent.m_incarnation};
   // Counted until the agent's next report shows the reservation.
   core::CountSent(m_fleet, *placed.m_agent, job.m_request.m_size);
   core::CountEnded(m_fleet, placement.m_agent, placement.m_incarnation);
--- a/packages/daemon/src/entry/owner_service.h
+++ b/packages/daemon/src/entry/owner_service.h
@@ -77,7 +77,7 @@
     wire::ReplyFunction m_reply;  ///< Of the report to answer.
   };
 
-  [[nodiscard]] core::JobPlacement Place(const core::JobState& job);
+  [[nodiscard]] core::OwnerPlacement Place(const core::JobState& job);
   [[nodiscard]] core::OwnerContext Context(const core::JobTable& table) const;
   void Post(core::OwnerActions actions);
   void Perform(Prepared& prepared);
