Expose metrics and report events of an entry

Cause: operators could not see the log's age, shard owners or silent instances.

EntryAlive is appended once the log can be read; the append at start was refused before the first read and came 30 s late.

--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -51,9 +51,20 @@
 inline const Event kDrainTimedOut = DefineEvent(103, EventLevel::kWarn, "drain timed out with work in progress");
 inline const Event kStartFailed = DefineEvent(104, EventLevel::kError, "start failed");
 // 200 to 299: entry.
+inline const Event kShardClaimed = DefineEvent(200, EventLevel::kInfo, "shard claimed");
+inline const Event kShardReleased = DefineEvent(201, EventLevel::kInfo, "shard released");
 // 300 to 399: agent.
 // 400 to 499: log service.
+inline const Event kLogUnavailable = DefineEvent(400, EventLevel::kWarn, "log unavailable");
+inline const Event kLogAvailable = DefineEvent(401, EventLevel::kInfo, "log available");
+inline const Event kLogGap = DefineEvent(402, EventLevel::kWarn, "log records lost to retention");
+inline const Event kLogBadEntry = DefineEvent(403, EventLevel::kError, "log entry not decoded");
 // 500 to 599: membership.
+inline const Event kEntriesChanged = DefineEvent(500, EventLevel::kInfo, "live entries changed");
+inline const Event kInstanceJoined = DefineEvent(501, EventLevel::kInfo, "instance joined");
+inline const Event kInstanceSuspected = DefineEvent(502, EventLevel::kWarn, "instance suspected");
+inline const Event kInstanceRemoved = DefineEvent(503, EventLevel::kWarn, "instance removed");
+inline const Event kEntryIsolated = DefineEvent(504, EventLevel::kError, "entry isolated");
 // 600 to 699: policy.
 // clang-format on
 
--- /dev/null
+++ b/packages/daemon/include/ebonypin/daemon/metrics.h
@@ -0,0 +1,48 @@
+/// Prometheus metrics, read from counters when they are scraped.
+///
+/// Example:
+///
+///     MetricsServer metrics("127.0.0.1:9101", [&] {
+///       return std::vector<Metric>{{.m_name = "ebonypin_jobs_open", .m_help = "Jobs not closed.",
+///                                   .m_samples = {{.m_value = 3}}}};
+///     });
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ebonypin::daemon {
+
+/// Value with its labels.
+struct MetricSample {
+  std::map<std::string, std::string> m_labels;
+  double m_value = 0.0;
+};
+
+/// One metric. Names that end in "_total" are counters, others are gauges.
+struct Metric {
+  std::string m_name;
+  std::string m_help;  ///< One line.
+  std::vector<MetricSample> m_samples;
+};
+
+/// Serves the metrics over HTTP at /metrics.
+class MetricsServer {
+ public:
+  /// Reads metrics by `read`, from the server's threads. Throws std::exception when `address`,
+  /// "ip:port", is in use.
+  MetricsServer(const std::string& address, std::function<std::vector<Metric>()> read);
+  ~MetricsServer();
+  MetricsServer(const MetricsServer&) = delete;
+  MetricsServer& operator=(const MetricsServer&) = delete;
+
+ private:
+  class Reader;
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace ebonypin::daemon
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -6,7 +6,10 @@
 
 #include "../address.h"
 #include "api_routes.h"
+#include "ebonypin/daemon/events.h"
+#include "ebonypin/daemon/metrics.h"
 #include "ebonypin/daemon/role.h"
+#include "entry_metrics.h"
 #include "owner_service.h"
 
 namespace ebonypin::daemon {
@@ -47,6 +50,7 @@
                 Caller(), m_config, m_jobs, m_members) {}
 
   ~EntryRole() override {
+    m_metrics.reset();
     m_stopping = true;
     m_timers.Stop();
     m_events.Stop();
@@ -72,18 +76,26 @@
     const EntryParts parts{m_settings.m_region, m_settings.m_domain, m_timers,  m_http,
                            *m_region_log,       *m_config_log,       m_config,  m_jobs,
                            m_watches,           m_requests,          m_members, m_draining};
+    if (!m_settings.m_metrics_address.empty()) {
+      m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this, parts] {
+        return ReadEntryMetrics(parts, m_owner, *m_rpc);
+      });
+    }
     AddWorkRoutes(parts);
     AddWatchRoutes(parts);
     AddConfigRoutes(parts);
     AddOperationRoutes(parts);
     m_http.Open();
     m_events.Every(kTickInterval, [this] {
-      m_requests.Sweep();
       m_owner.Sweep();
       m_members.Tick();
+      if (Now() >= m_alive_due && m_region_log->IsReadable()) {
+        m_members.AppendAlive();
+        m_alive_due = Now() + kAliveInterval;
+      }
+      Report(m_requests.Sweep());
     });
     m_events.Every(kOwnerInterval, [this] { m_owner.Tick(); });
-    m_events.Every(kAliveInterval, [this] { m_members.AppendAlive(); });
   }
 
   void BeginDrain() override {
@@ -120,14 +132,20 @@
     m_region_log = std::make_unique<LogStream>(
         *m_log, m_timers,
         LogStreamOptions{.m_writer = WriterOptions("jobs." + region),
-                         .m_readers = {m_jobs.Reader(), m_watches.Reader(), m_members.Reader()},
+                         .m_readers = {m_jobs.Reader(), m_watches.Reader(), m_members.Reader(),
+                                       GapReporter("jobs")},
+                         .m_on_bad_entry =
+                             [](const core::LogOffset offset, const core::Error& error) {
+                               ReportBadEntry("jobs", offset, error);
+                             },
                          .m_on_end = [this](const core::Time asked) { m_owner.OnLogRead(asked); }});
     m_config_log = std::make_unique<LogStream>(
         *m_log, m_timers,
         LogStreamOptions{
             .m_writer = WriterOptions("config"),
-            .m_readers = {m_config.Reader()},
+            .m_readers = {m_config.Reader(), GapReporter("config")},
             .m_on_bad_entry = [this](const core::LogOffset offset, const core::Error& error) {
+              ReportBadEntry("config", offset, error);
               m_config.OnBadEntry(offset, error);
             }});
     m_jobs.SetStream(m_region_log.get());
@@ -170,6 +188,47 @@
     return reply;
   }
 
+  /// Writes an event for what changed since the last call.
+  void Report(const core::SweepResult& sweep) {
+    for (const auto& agent : sweep.m_suspected) {
+      LogEvent(kInstanceSuspected, {{"instance", agent.m_value}});
+    }
+    for (const auto& agent : sweep.m_removed) {
+      LogEvent(kInstanceRemoved, {{"instance", agent.m_value}});
+    }
+    if (sweep.m_isolated && !m_was_isolated) LogEvent(kEntryIsolated);
+    m_was_isolated = sweep.m_isolated;
+    // The first read takes a moment.
+    if (Now() - m_started >= kLogReadLimit) {
+      ReportLog("jobs", *m_region_log, m_jobs_readable);
+      ReportLog("config", *m_config_log, m_config_readable);
+    }
+    std::string live;
+    for (const auto& entry : m_members.Live()) live += entry.m_entry.m_value + ' ';
+    if (live != m_live) LogEvent(kEntriesChanged, {{"entries", live}});
+    m_live = live;
+  }
+
+  static void ReportLog(const std::string_view stream, const LogStream& log, bool& readable) {
+    const bool now = log.IsReadable();
+    if (now != readable) LogEvent(now ? kLogAvailable : kLogUnavailable, {{"stream", stream}});
+    readable = now;
+  }
+
+  /// Returns a reader that writes an event for each gap.
+  static LogReader GapReporter(const std::string& stream) {
+    return {.m_on_batch = [](const platform::TailBatch&) {},
+            .m_on_gap =
+                [stream] {
+                  LogEvent(kLogGap, {{"stream", stream}});
+                }};
+  }
+
+  static void ReportBadEntry(const std::string_view stream, const core::LogOffset offset,
+                             const core::Error& error) {
+    LogEvent(kLogBadEntry, {{"stream", stream}, {"offset", offset}, {"reason", error.m_message}});
+  }
+
   void OnConfigChange() {
     m_events.Post([this] {
       for (const auto& agent : m_requests.Agents()) {
@@ -196,6 +255,14 @@
   std::unique_ptr<LogStream> m_region_log;
   std::unique_ptr<LogStream> m_config_log;
   std::unique_ptr<wire::Rpc> m_rpc;
+  std::unique_ptr<MetricsServer> m_metrics;
+  // Used on the events thread only.
+  const core::Time m_started = Now();
+  core::Time m_alive_due;
+  bool m_was_isolated = false;
+  bool m_jobs_readable = true;
+  bool m_config_readable = true;
+  std::string m_live;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterRole(
--- a/packages/daemon/src/entry/log_stream.h
+++ b/packages/daemon/src/entry/log_stream.h
@@ -23,9 +23,9 @@
 struct LogStreamOptions {
   platform::LogWriterOptions m_writer;
   std::vector<LogReader> m_readers;
-  /// See platform::LogTailOptions. May be empty.
-  std::function<void(core::Time)> m_on_end;
+  // See platform::LogTailOptions. Both may be empty.
   std::function<void(core::LogOffset, const core::Error&)> m_on_bad_entry;
+  std::function<void(core::Time)> m_on_end;
 };
 
 /// A log that was not read for this long counts as unavailable. A read lasts up to 250 ms when
--- a/packages/daemon/src/entry/owner_service.cc
+++ b/packages/daemon/src/entry/owner_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "ebonypin/daemon/events.h"
 #include "ebonypin/wire/limits.h"
 
 namespace ebonypin::daemon {
@@ -62,6 +63,13 @@
 
 void OwnerService::OnEvents(const core::JobTable& table,
                             const std::vector<core::JobEvent>& events) {
+  for (const auto& event : events) {
+    const bool claimed = event.m_kind == core::JobEventKind::kShardClaimed;
+    if (!claimed && event.m_kind != core::JobEventKind::kShardReleased) continue;
+    LogEvent(
+        claimed ? kShardClaimed : kShardReleased,
+        {{"shard", event.m_shard}, {"epoch", event.m_epoch}, {"entry", event.m_entry.m_value}});
+  }
   Post(core::OnJobEvents(m_owner, Context(table), events));
 }
 
@@ -79,6 +87,12 @@
                                                    const bool drained) {
   std::vector<core::Grant> grants;
   m_jobs.WithTable([&](const core::JobTable& table) {
+    const auto* const known = core::FindAgent(m_fleet, heartbeat.m_agent);
+    if (known == nullptr || known->m_incarnation < heartbeat.m_incarnation) {
+      LogEvent(kInstanceJoined, {{"instance", heartbeat.m_agent.m_value},
+                                 {"domain", heartbeat.m_domain.m_value},
+                                 {"rpc", heartbeat.m_rpc_address}});
+    }
     core::ObserveHeartbeat(m_fleet, heartbeat, Now());
     core::SetDrained(m_fleet, heartbeat.m_agent, drained);
     grants = core::OnHeartbeat(m_owner, Context(table), heartbeat);
--- /dev/null
+++ b/packages/daemon/src/metrics.cc
@@ -0,0 +1,65 @@
+#include "ebonypin/daemon/metrics.h"
+
+#include <prometheus/collectable.h>
+#include <prometheus/exposer.h>
+#include <prometheus/metric_family.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace ebonypin::daemon {
+
+/// Converts metrics when they are scraped.
+class MetricsServer::Reader final : public prometheus::Collectable {
+ public:
+  explicit Reader(std::function<std::vector<Metric>()> read) : m_read(std::move(read)) {}
+
+  [[nodiscard]] std::vector<prometheus::MetricFamily> Collect() const override {
+    std::vector<prometheus::MetricFamily> families;
+    for (const auto& metric : m_read()) {
+      const bool counter = metric.m_name.ends_with("_total");
+      prometheus::MetricFamily family;
+      family.name = metric.m_name;
+      family.help = metric.m_help;
+      family.type = counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+      for (const auto& sample : metric.m_samples) {
+        prometheus::ClientMetric out;
+        for (const auto& [name, value] : sample.m_labels) out.label.push_back({name, value});
+        (counter ? out.counter.value : out.gauge.value) = sample.m_value;
+        family.metric.push_back(std::move(out));
+      }
+      families.push_back(std::move(family));
+    }
+    return families;
+  }
+
+ private:
+  const std::function<std::vector<Metric>()> m_read;
+};
+
+class MetricsServer::Impl {
+ public:
+  Impl(const std::string& address, std::function<std::vector<Metric>()> read)
+      : m_reader(std::make_shared<Reader>(std::move(read))), m_exposer(Open(address)) {
+    m_exposer->RegisterCollectable(m_reader);
+  }
+
+ private:
+  static std::unique_ptr<prometheus::Exposer> Open(const std::string& address) {
+    try {
+      return std::make_unique<prometheus::Exposer>(address, 1);
+    } catch (const std::exception& exception) {
+      throw std::runtime_error("cannot serve metrics at " + address + ": " + exception.what() +
+                               "; set [process] metrics to a free address");
+    }
+  }
+
+  const std::shared_ptr<Reader> m_reader;
+  const std::unique_ptr<prometheus::Exposer> m_exposer;
+};
+
+MetricsServer::MetricsServer(const std::string& address, std::function<std::vector<Metric>()> read)
+    : m_impl(std::make_unique<Impl>(address, std::move(read))) {}
+MetricsServer::~MetricsServer() = default;
+
+}  // namespace ebonypin::daemon
