Measure latency and rate with a load generator

Cause: the added latency of the entry-agent path and the appends that jobs need were not measured.

Conclusion: one command repeats the measurement.

--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,10 @@
 chaos: build
 	@$(BUILD)/bin/ebonypin_chaos --bin=$(BUILD)/bin --folder=$(BUILD)/chaos --seconds=$(SECONDS) --seed=$(SEED)
 
+# Measures added latency, requests/s and appends/s on loopback, SECONDS seconds each.
+latency: build
+	@scripts/latency.sh $(BUILD) $(SECONDS)
+
 generate:
 	@scripts/generate.sh
 
