--- a/packages/daemon/scenarios/entry_test.cc
+++ b/packages/daemon/scenarios/entry_test.cc
@@ -164,6 +164,13 @@
     site.Entry(0).BeginDrain();
     const auto refused = site.Call(0, "POST", "/v1/requests", Work("n", "lookup", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string{"draining"}, refused.ErrorKind());
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const auto status = site.Call(1, "GET", "/v1/status");
+      for (const auto& shard : status.m_body.at("shards").as_array()) {
+        if (shard.at("owner").as_string() != "entry-1") return false;
+      }
+      return true;
+    }));
     CPPUNIT_ASSERT(!site.Entry(0).IsDrained());
     agent.Release();
     CPPUNIT_ASSERT_EQUAL(200, held.get().m_status);
