Add ebonypinctl, the command line of operators and callers

Cause: operators and callers had only raw HTTP. Conclusion: the HTTP API of docs/http_api.md can be used from a shell.

--- /dev/null
+++ b/packages/ctl/src/stuck_command.cc
@@ -0,0 +1,120 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "commands.h"
+#include "table.h"
+
+namespace ebonypin::ctl {
+namespace {
+
+using web::json::value;
+
+// Agents are suspected after this silence; an older log is behind by the same measure.
+constexpr std::uint64_t kStaleMillis = 3000;
+
+struct Finding {
+  std::string m_what;
+  std::string m_effect;
+  std::string m_remedy;
+};
+
+void CheckLog(const std::string& name, const value& log, std::vector<Finding>& findings) {
+  if (!IsTrue(log, "caught_up") || NumberOf(log, "age_ms") > kStaleMillis) {
+    findings.push_back({fmt::format("{} log last read {} ms ago", name, NumberOf(log, "age_ms")),
+                        "new jobs and changes are refused, ends of jobs are held back",
+                        "check the log service and the network to it"});
+  }
+  if (NumberOf(log, "gaps") > 0) {
+    findings.push_back({fmt::format("{} log has {} gaps", name, NumberOf(log, "gaps")),
+                        "records were dropped before this entry read them",
+                        "lengthen the retention of the log service"});
+  }
+}
+
+void CheckShards(const value& status, std::vector<Finding>& findings) {
+  const auto shards = ListOf(status, "shards");
+  const auto free = std::count_if(shards.begin(), shards.end(), [](const value& shard) {
+    return TextOf(shard, "owner").empty();
+  });
+  if (free == 0) return;
+  findings.push_back({fmt::format("{} of {} shards have no owner", free, shards.size()),
+                      "their jobs wait until an entry claims them",
+                      "nothing for 10 s after a start or loss of an entry; then check the log"});
+}
+
+/// Returns whether `instance` takes new work.
+bool IsReady(const value& instance) {
+  return !IsTrue(instance, "suspected") && !IsTrue(instance, "ejected") &&
+         !IsTrue(instance, "drained") && !IsTrue(instance, "draining");
+}
+
+void CheckInstances(const std::vector<value>& instances, std::vector<Finding>& findings) {
+  for (const auto& instance : instances) {
+    const auto id = TextOf(instance, "id");
+    const auto work = NumberOf(instance, "slots_busy") + NumberOf(instance, "queued");
+    if (IsTrue(instance, "suspected")) {
+      findings.push_back(
+          {fmt::format("instance {} silent for {} ms", id, NumberOf(instance, "silent_ms")),
+           fmt::format("its {} running or queued items wait or are moved", work),
+           "replace the instance if it stays silent"});
+    } else if (IsTrue(instance, "ejected")) {
+      findings.push_back({fmt::format("instance {} ejected for its failures", id),
+                          "it gets trial work only", "look at the worker's own log"});
+    } else if (!IsReady(instance) && work > 0) {
+      findings.push_back({fmt::format("instance {} drains", id),
+                          fmt::format("{} running or queued items end first", work),
+                          "wait, or see 'ebonypinctl drain --wait'"});
+    }
+  }
+  if (std::none_of(instances.begin(), instances.end(), IsReady)) {
+    findings.push_back({"no instance takes work", "all work waits or is refused",
+                        "start an agent, or undrain an instance"});
+  }
+}
+
+}  // namespace
+
+int Stuck(Context& context, const Arguments&) {
+  const auto status = Get(context, "/v1/status");
+  if (!status.Ok()) {
+    PrintJson(context, status);
+    return ReportFailure(context, status, "stuck");
+  }
+  const auto instances = Get(context, "/v1/instances");
+  if (!instances.Ok()) {
+    PrintJson(context, instances);
+    return ReportFailure(context, instances, "stuck");
+  }
+  std::vector<Finding> findings;
+  const auto logs = ObjectOf(status.m_body, "log");
+  CheckLog("jobs", ObjectOf(logs, "jobs"), findings);
+  CheckLog("config", ObjectOf(logs, "config"), findings);
+  CheckShards(status.m_body, findings);
+  CheckInstances(ListOf(instances.m_body, "instances"), findings);
+  if (context.m_options.m_json) {
+    std::vector<value> list;
+    for (const auto& finding : findings) {
+      auto json = value::object();
+      json["what"] = value::string(finding.m_what);
+      json["effect"] = value::string(finding.m_effect);
+      json["remedy"] = value::string(finding.m_remedy);
+      list.push_back(json);
+    }
+    auto json = value::object();
+    json["findings"] = value::array(list);
+    context.m_out << json.serialize() << '\n';
+    return kExitOk;
+  }
+  if (findings.empty()) {
+    context.m_out << "nothing holds work back\n";
+    return kExitOk;
+  }
+  std::vector<std::vector<std::string>> rows{{"WHAT", "EFFECT", "REMEDY"}};
+  for (const auto& finding : findings)
+    rows.push_back({finding.m_what, finding.m_effect, finding.m_remedy});
+  context.m_out << FormatTable(rows);
+  return kExitOk;
+}
+
+}  // namespace ebonypin::ctl
--- /dev/null
+++ b/packages/ctl/tests/fake_entry.cc
@@ -0,0 +1,83 @@
+#include "fake_entry.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+
+namespace ebonypin::ctl {
+namespace {
+
+/// Returns a socket bound to a free loopback port, and its URL.
+std::pair<int, std::string> BindToFreePort() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (descriptor < 0 || bind(descriptor, generic, size) != 0 ||
+      getsockname(descriptor, generic, &size) != 0) {
+    throw std::runtime_error("no free port");
+  }
+  return {descriptor, "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port))};
+}
+
+}  // namespace
+
+FakeEntry::FakeEntry(std::function<FakeAnswer(const FakeCall&)> handler)
+    : m_handler(std::move(handler)) {
+  // The port may be taken between its choice and its use.
+  constexpr int kTries = 10;
+  for (int i = 0; i < kTries; ++i) {
+    m_url = ClosedUrl();
+    m_listener = std::make_unique<web::http::experimental::listener::http_listener>(m_url);
+    m_listener->support([this](web::http::http_request request) { Serve(request); });
+    try {
+      m_listener->open().wait();
+      return;
+    } catch (const std::exception&) {
+      continue;
+    }
+  }
+  throw std::runtime_error("no free port");
+}
+
+FakeEntry::~FakeEntry() { m_listener->close().wait(); }
+
+std::vector<FakeCall> FakeEntry::Calls() {
+  const std::lock_guard lock(m_mutex);
+  return m_calls;
+}
+
+void FakeEntry::Serve(web::http::http_request request) {
+  const auto text = request.extract_string(true).get();
+  const FakeCall call{.m_method = request.method(),
+                      .m_path = request.request_uri().to_string(),
+                      .m_body = text.empty() ? web::json::value{} : Json(text)};
+  const std::lock_guard lock(m_mutex);
+  m_calls.push_back(call);
+  const auto answer = m_handler(call);
+  request.reply(static_cast<web::http::status_code>(answer.first), answer.second);
+}
+
+SilentEntry::SilentEntry() {
+  auto [descriptor, url] = BindToFreePort();
+  m_socket = descriptor;
+  m_url = std::move(url);
+  // The kernel accepts connections and their data; nobody reads them.
+  if (listen(m_socket, SOMAXCONN) != 0) throw std::runtime_error("cannot listen");
+}
+
+SilentEntry::~SilentEntry() { close(m_socket); }
+
+std::string ClosedUrl() {
+  auto [descriptor, url] = BindToFreePort();
+  close(descriptor);
+  return url;
+}
+
+web::json::value Json(const std::string& text) { return web::json::value::parse(text); }
+
+}  // namespace ebonypin::ctl
--- /dev/null
+++ b/packages/ctl/tests/fake_entry.h
@@ -0,0 +1,65 @@
+/// Entry for tests: answers HTTP calls from a function and records them.
+#pragma once
+
+#include <cpprest/http_listener.h>
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ebonypin::ctl {
+
+/// Call as it arrived, for example {"GET", "/v1/audit?limit=1", null}.
+struct FakeCall {
+  std::string m_method;
+  std::string m_path;
+  web::json::value m_body;
+};
+
+/// Status and body of an answer.
+using FakeAnswer = std::pair<int, web::json::value>;
+
+class FakeEntry {
+ public:
+  explicit FakeEntry(std::function<FakeAnswer(const FakeCall&)> handler);
+  ~FakeEntry();
+  FakeEntry(const FakeEntry&) = delete;
+  FakeEntry& operator=(const FakeEntry&) = delete;
+
+  [[nodiscard]] const std::string& Url() const noexcept { return m_url; }
+  [[nodiscard]] std::vector<FakeCall> Calls();
+
+ private:
+  void Serve(web::http::http_request request);
+
+  std::function<FakeAnswer(const FakeCall&)> m_handler;
+  std::mutex m_mutex;
+  std::vector<FakeCall> m_calls;
+  std::string m_url;
+  std::unique_ptr<web::http::experimental::listener::http_listener> m_listener;
+};
+
+/// Accepts connections and requests and never answers, as an entry that was stopped or cut off.
+class SilentEntry {
+ public:
+  SilentEntry();
+  ~SilentEntry();
+  SilentEntry(const SilentEntry&) = delete;
+  SilentEntry& operator=(const SilentEntry&) = delete;
+
+  [[nodiscard]] const std::string& Url() const noexcept { return m_url; }
+
+ private:
+  int m_socket = -1;
+  std::string m_url;
+};
+
+/// Returns a loopback URL at which nothing listens.
+[[nodiscard]] std::string ClosedUrl();
+
+/// Returns `text` parsed as JSON.
+[[nodiscard]] web::json::value Json(const std::string& text);
+
+}  // namespace ebonypin::ctl
