--- a/packages/ctl/src/commands.cc
+++ b/packages/ctl/src/commands.cc
@@ -10,7 +10,7 @@
 
 using Words = std::vector<std::string>;
 
-const Words kCommonFlags{"entry", "json", "timeout"};
+const Words kCommonFlags{"entry", "json", "timeout", "operator"};
 const Words kWorkFlags{"class", "id",         "key",    "payload",      "deadline",
                        "run",   "cpu_millis", "memory", "accelerators", "non_idempotent"};
 
@@ -78,7 +78,7 @@
        "Each class is compared with its current revision and sent only when it differs. A change "
        "that another operator\nmade in between is not overwritten: the command shows it and ends "
        "with exit code 4.\n\nexample: ebonypinctl class apply examples/krakow.ini",
-       {"operator", "base_revision"},
+       {"base_revision"},
        ClassApply},
       {"class check", "FILE", "Check the classes in FILE without sending them", "", {}, ClassCheck},
       {"class list", "", "List all classes with their targets", "", {}, ClassList},
@@ -87,7 +87,7 @@
        "NAME",
        "Remove a class",
        "New work of the class is refused from then on.",
-       {"operator", "base_revision"},
+       {"base_revision"},
        ClassRemove},
       {"status", "", "Show an entry, its log, the other entries and the shards", "", {}, Status},
       {"queues", "", "Show what runs and waits at each instance", "", {}, Queues},
@@ -97,9 +97,9 @@
        "ID",
        "Give no new work to an instance",
        "Work in progress ends. With --wait the command ends when nothing is left.",
-       {"operator", "wait"},
+       {"wait"},
        Drain},
-      {"undrain", "ID", "Give work to an instance again", "", {"operator"}, Undrain},
+      {"undrain", "ID", "Give work to an instance again", "", {}, Undrain},
       {"audit",
        "",
        "Show the changes of classes and drains, oldest first",
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -16,7 +16,7 @@
   std::string m_parameters;  ///< For example "FILE"; one word each.
   std::string m_summary;
   std::string m_details;
-  std::vector<std::string> m_flags;  ///< Flags besides --entry, --json and --timeout.
+  std::vector<std::string> m_flags;  ///< Flags besides --entry, --json, --timeout and --operator.
   int (*m_run)(Context&, const Arguments&);
 };
 
