--- a/packages/core/src/dispatch.cc
+++ b/packages/core/src/dispatch.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "ebonypin/core/admission.h"
+
 namespace ebonypin::core {
 namespace {
 
@@ -70,6 +72,13 @@
              .m_error = std::move(error)});
 }
 
+/// Tells ejection what became of a try.
+void Outcome(const DispatchContext& context, const AgentId& agent, const bool good) {
+  if (context.m_ejection == nullptr) return;
+  (void)RecordOutcome(*context.m_ejection, context.m_fleet, context.m_options.m_ejection, agent,
+                      good, context.m_now);
+}
+
 /// Returns the latest start that still meets the target and the deadline.
 Duration StartWithin(const DispatchRequest& request, const Time now) {
   const Duration elapsed = std::chrono::duration_cast<Duration>(now - request.m_arrived);
@@ -80,6 +89,31 @@
   return std::max(left, Duration{0});
 }
 
+/// Refuses work whose start is predicted too late at the best agent that was found. The agent
+/// predicts better, but a refusal here saves the way to it.
+std::optional<Error> RefuseLate(const DispatchContext& context, const DispatchRequest& request,
+                                const AgentView& agent) {
+  if (!context.m_options.m_admission) return std::nullopt;
+  // Slots of batch work count as busy in the report and may be taken back, so that only the queue
+  // of the agent shows that none are left.
+  if (agent.m_load.m_queued == 0 || agent.m_slots == 0) return std::nullopt;
+  const std::uint32_t outstanding = Outstanding(agent);
+  const std::uint32_t queued = outstanding > agent.m_slots ? outstanding - agent.m_slots : 0;
+  // The reported latency contains the wait in the reported queue.
+  const double turns = 1.0 + static_cast<double>(agent.m_load.m_queued) / agent.m_slots;
+  const Duration wait = PredictWait(
+      {.m_slots = agent.m_slots,
+       .m_busy = agent.m_slots,
+       .m_queued = queued,
+       .m_run = Duration{static_cast<std::int64_t>(agent.m_load.m_latency_us / turns)}});
+  return CheckAdmission(
+      {.m_wait = wait,
+       .m_elapsed = std::chrono::duration_cast<Duration>(context.m_now - request.m_arrived),
+       .m_target = {.m_start_within = request.m_target.m_start_within,
+                    .m_finish_within = request.m_target.m_finish_within},
+       .m_deadline = std::chrono::duration_cast<Duration>(request.m_deadline - request.m_arrived)});
+}
+
 /// Returns false, with the reason, when no agent can be tried now.
 bool SendTry(Step& step, const Ticket ticket, DispatchRequest& request, Error& error) {
   const DispatchContext& context = step.m_context;
@@ -91,6 +125,10 @@
     return false;
   }
   const AgentView& agent = context.m_fleet.m_agents[*placement.m_agent];
+  if (auto refusal = RefuseLate(context, request, agent)) {
+    error = std::move(*refusal);
+    return false;
+  }
   const std::uint64_t number = ++step.m_state.m_last_try;
   const Duration left = std::chrono::duration_cast<Duration>(request.m_deadline - context.m_now);
   request.m_tries.push_back({.m_try = number,
@@ -116,6 +154,10 @@
                         .m_payload = request.m_request.m_payload},
               .m_timeout = left});
   CountSent(context.m_fleet, *placement.m_agent, request.m_request.m_size);
+  if (context.m_ejection != nullptr) {
+    RecordSent(*context.m_ejection, context.m_fleet, context.m_options.m_ejection,
+               request.m_tries.back().m_agent, context.m_now);
+  }
   const DispatchClass& memory = step.m_state.m_classes[request.m_request.m_class];
   request.m_hedge_at.reset();
   if (context.m_options.m_hedge && request.m_idempotent && !request.m_hedged &&
@@ -266,6 +308,11 @@
     return Finish(step);
   }
   const bool was_open = current->m_open;
+  if (reply.m_kind != AnswerKind::kNotRun) {
+    Outcome(context, agent, reply.m_kind == AnswerKind::kDone);
+  } else if (context.m_ejection != nullptr) {
+    RecordNotRun(*context.m_ejection, context.m_fleet, agent);
+  }
   if (!was_open) ++state.m_counters.m_late_replies;
   if (reply.m_kind == AnswerKind::kDone) {
     if (StableHash(reply.m_result) == reply.m_result_hash) {
@@ -307,18 +354,23 @@
   current->m_open = false;
   CountEnded(context.m_fleet, current->m_agent, current->m_incarnation);
   if (failure == CallFailure::kNotSent) {
+    if (context.m_ejection != nullptr) {
+      RecordNotRun(*context.m_ejection, context.m_fleet, current->m_agent);
+    }
     SuspectAgent(context.m_fleet, current->m_agent);
     AfterNotRun(step, ticket, failed_try,
                 {.m_kind = ErrorKind::kNoCapacity,
                  .m_message = "the worker could not be reached; retry in a second",
                  .m_retry_after = 1s});
   } else if (failure == CallFailure::kDisconnected) {
+    Outcome(context, current->m_agent, false);
     SuspectAgent(context.m_fleet, current->m_agent);
     AfterUnknown(step, ticket,
                  {.m_kind = ErrorKind::kDisconnected,
                   .m_message = "the connection to the worker was lost and the work may have run; "
                                "send idempotent work again"});
   } else {
+    Outcome(context, current->m_agent, false);
     AfterUnknown(step, ticket,
                  {.m_kind = ErrorKind::kTimeout,
                   .m_message = "the worker did not answer in time and the work may have run; "
