--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -52,6 +52,12 @@
 inline const Event kStartFailed = DefineEvent(104, EventLevel::kError, "start failed");
 // 200 to 299: entry.
 // 300 to 399: agent.
+inline const Event kWorkerListed = DefineEvent(300, EventLevel::kInfo, "worker listed its tasks");
+inline const Event kWorkerSilent = DefineEvent(301, EventLevel::kWarn, "worker does not answer");
+inline const Event kWorkerRestarted = DefineEvent(302, EventLevel::kWarn, "worker restarted");
+inline const Event kTasksSuspended = DefineEvent(303, EventLevel::kWarn, "exclusive tasks suspended without grant");
+inline const Event kWorkerDrained = DefineEvent(304, EventLevel::kInfo, "worker drained by operators");
+inline const Event kWorkerUndrained = DefineEvent(305, EventLevel::kInfo, "drain of the worker ended");
 // 400 to 499: log service.
 // 500 to 599: membership.
 // 600 to 699: policy.
