--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -17,7 +17,7 @@
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{.sin_family = AF_INET, .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
   socklen_t size = sizeof(address);
-  ::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
+  (void)::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(socket);
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
