--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -54,6 +54,12 @@
 inline const Event kShardClaimed = DefineEvent(200, EventLevel::kInfo, "shard claimed");
 inline const Event kShardReleased = DefineEvent(201, EventLevel::kInfo, "shard released");
 // 300 to 399: agent.
+inline const Event kWorkerListed = DefineEvent(300, EventLevel::kInfo, "worker listed its tasks");
+inline const Event kWorkerSilent = DefineEvent(301, EventLevel::kWarn, "worker does not answer");
+inline const Event kWorkerRestarted = DefineEvent(302, EventLevel::kWarn, "worker restarted");
+inline const Event kTasksSuspended = DefineEvent(303, EventLevel::kWarn, "exclusive tasks suspended without grant");
+inline const Event kWorkerDrained = DefineEvent(304, EventLevel::kInfo, "worker drained by operators");
+inline const Event kWorkerUndrained = DefineEvent(305, EventLevel::kInfo, "drain of the worker ended");
 // 400 to 499: log service.
 inline const Event kLogUnavailable = DefineEvent(400, EventLevel::kWarn, "log unavailable");
 inline const Event kLogAvailable = DefineEvent(401, EventLevel::kInfo, "log available");
