Throttle batch work by predicted interference per pair

Cause: when short work is slowed down, halving all batch work throttles harmless tasks too, and only after the measurement's lag of two to three seconds. Change: interference learns the extra slowdown of each pair of classes from lagging measurements, with a prior and decay. slot_plan keeps the least harmful tasks up to the slowdown that the target allows. In noisy_waves previews now grow fourfold and a render may triple their run time, because placement alone kept the former case harmless.

--- a/packages/bench/src/agent_driver.cc
+++ b/packages/bench/src/agent_driver.cc
@@ -7,6 +7,8 @@
 
 constexpr Duration kTick = std::chrono::milliseconds{50};
 constexpr double kLatencyGain = 0.1;
+/// Ratio of the 99th percentile to the median of the run times of the traces.
+constexpr double kTailFactor = 2.5;
 
 std::uint64_t ItemOf(const core::RequestId& request) { return std::stoull(request.m_value); }
 core::JobId JobOf(const std::uint64_t item) { return {std::to_string(item)}; }
@@ -90,7 +92,10 @@
 }
 
 bool AgentDriver::Reserve(const std::uint64_t item, const core::Resources& size) {
-  if (!core::Fits(size, Free()) || Plan().m_admit == 0) return false;
+  if (!core::Fits(size, Free())) return false;
+  const core::SlotPlan plan = Plan();
+  const double harm = HarmOf(m_world.Item(item).m_class);
+  if (plan.m_admit == 0 || (harm > 0.0 && harm > plan.m_admit_harm)) return false;
   m_reserved.emplace(item, size);
   return true;
 }
@@ -117,7 +122,8 @@
   core::SlotPlanInput input{.m_now = m_world.m_loop.Now(),
                             .m_slots = m_endpoint.Options().m_slots,
                             .m_short_queued = static_cast<std::uint32_t>(m_waiting.size()),
-                            .m_short_target_missed = m_target_missed};
+                            .m_short_target_missed = m_target_missed,
+                            .m_harm_limit = HarmLimit()};
   for (const Task& task : m_endpoint.Tasks()) {
     if (task.m_short) {
       ++input.m_short_busy;
@@ -128,11 +134,14 @@
                                .m_attempt = job.m_attempt,
                                .m_started = task.m_started,
                                .m_throttled = task.m_throttled,
-                               .m_throttled_at = task.m_throttled_at});
+                               .m_throttled_at = task.m_throttled_at,
+                               .m_harm = HarmOf(task.m_class)});
     }
   }
   for (const auto& [item, size] : m_reserved) {
-    input.m_batch.push_back({.m_job = JobOf(item), .m_started = m_world.m_loop.Now()});
+    input.m_batch.push_back({.m_job = JobOf(item),
+                             .m_started = m_world.m_loop.Now(),
+                             .m_harm = HarmOf(m_world.Item(item).m_class)});
   }
   return core::PlanSlots(m_slots, m_slot_options, input);
 }
@@ -220,17 +229,51 @@
   });
 }
 
+double AgentDriver::HarmOf(const std::uint32_t cause) const {
+  if (!m_world.With("interference")) return 0.0;
+  const auto& classes = m_world.GetScenario().m_classes;
+  // Short work that is not here now may come back before a throttled slot is free.
+  double harm = 0.0;
+  for (const Task& task : m_endpoint.Tasks()) {
+    if (!task.m_short) continue;
+    harm = std::max(harm, core::PairSlowdown(m_interference, m_interference_options,
+                                             classes[task.m_class].m_spec.m_name,
+                                             classes[cause].m_spec.m_name, m_world.m_loop.Now()));
+  }
+  return harm;
+}
+
+double AgentDriver::HarmLimit() const {
+  const auto& classes = m_world.GetScenario().m_classes;
+  double limit = std::numeric_limits<double>::infinity();
+  for (const WorkClass& work : classes) {
+    const auto& latency = work.m_spec.m_target.m_latency;
+    if (!work.m_short || !latency) continue;
+    const double alone = kTailFactor * static_cast<double>(work.m_median_run.count());
+    limit = std::min(limit, static_cast<double>(latency->count()) / alone - 1.0);
+  }
+  return std::max(0.0, limit);
+}
+
 void AgentDriver::OnUsage(const std::vector<ClassUsage>& usage) {
   const auto& classes = m_world.GetScenario().m_classes;
   m_target_missed = false;
+  std::vector<core::RunningClass> batch;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    if (!classes[i].m_short) batch.push_back({classes[i].m_spec.m_name, usage[i].m_running});
+  }
   for (std::size_t i = 0; i < classes.size(); ++i) {
+    if (!classes[i].m_short || usage[i].m_running < 0.1) continue;
+    core::LearnInterference(m_interference, m_interference_options, classes[i].m_spec.m_name,
+                            usage[i].m_slowdown, batch, m_world.m_loop.Now());
     const auto& latency = classes[i].m_spec.m_target.m_latency;
-    if (!classes[i].m_short || !latency) continue;
     const auto expected = static_cast<double>(classes[i].m_median_run.count());
-    if (expected * usage[i].m_slowdown * 2.5 > static_cast<double>(latency->count())) {
+    if (latency &&
+        expected * usage[i].m_slowdown * kTailFactor > static_cast<double>(latency->count())) {
       m_target_missed = true;
     }
   }
+  if (m_world.With("interference")) m_target_missed = false;
 }
 
 core::AgentLoad AgentDriver::Load() const {
--- a/packages/bench/src/agent_driver.h
+++ b/packages/bench/src/agent_driver.h
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "ebonypin/core/admission.h"
+#include "ebonypin/core/interference.h"
 #include "ebonypin/core/messages.h"
 #include "ebonypin/core/run_time_model.h"
 #include "ebonypin/core/slot_plan.h"
@@ -51,6 +52,10 @@
   /// Plans the slots, carries the plan out and starts short work that fits.
   void Pump();
   [[nodiscard]] core::SlotPlan Plan();
+  /// Predicted extra slowdown of the short work here by one task of class `cause`.
+  [[nodiscard]] double HarmOf(std::uint32_t cause) const;
+  /// Extra slowdown that the short work here bears without missing its target.
+  [[nodiscard]] double HarmLimit() const;
   void StartShort();
   void OnEnd(const Task& task, bool done);
   void Evict(std::uint64_t item);
@@ -70,6 +75,8 @@
   std::unordered_map<std::uint64_t, Job> m_jobs;
   std::unordered_map<core::ClassName, core::RunTimeModel> m_models;
   core::RunTimeOptions m_run_options;
+  core::InterferenceModel m_interference;
+  core::InterferenceOptions m_interference_options;
   double m_latency_us = 0.0;
   double m_run_us = 0.0;
   bool m_target_missed = false;
--- a/packages/bench/src/load_cases.cc
+++ b/packages/bench/src/load_cases.cc
@@ -77,8 +77,11 @@
                          .m_size = {.m_cpu_millis = 1000, .m_memory_mb = 3000},
                          .m_median_run = 20s}};
   // Renders slow previews down; archive syncs hardly do.
-  scenario.m_endpoint.m_slowdown = {{0.0, 0.4, 0.01}, {0.01, 0.0, 0.0}, {0.01, 0.0, 0.0}};
-  AddArrivals(scenario, 0, 300.0, nullptr, random);
+  scenario.m_endpoint.m_slowdown = {{0.0, 1.0, 0.01}, {0.01, 0.0, 0.0}, {0.01, 0.0, 0.0}};
+  // Previews grow fourfold, so that they cannot keep to workers without renders.
+  Crests crests = MakeCrests(scenario.m_length, 15s, random);
+  crests.m_factor = 4.0;
+  AddArrivals(scenario, 0, 130.0, &crests, random);
   AddBursts(scenario, 1, 10s, 24, random);
   AddArrivals(scenario, 2, 0.6, nullptr, random);
   SortByTime(scenario);
--- /dev/null
+++ b/packages/core/include/ebonypin/core/interference.h
@@ -0,0 +1,51 @@
+/// Slowdown of one class by a running task of another, learned from lagging measurements.
+///
+/// A measurement says how much slower than alone a class ran in a past window and what ran beside
+/// it then. The estimate of each pair starts at a prior, moves with each measurement and decays
+/// back to the prior, because interference shifts with load.
+#pragma once
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "ebonypin/core/ids.h"
+#include "ebonypin/core/time.h"
+
+namespace ebonypin::core {
+
+struct InterferenceOptions {
+  double m_prior = 0.05;    ///< Extra slowdown by one task before anything was measured.
+  double m_rate = 0.2;      ///< Share of the error corrected by one measurement.
+  double m_largest = 10.0;  ///< Largest extra slowdown by one task.
+  Duration m_half_life = std::chrono::minutes{5};  ///< Of the distance from the prior.
+};
+
+/// Extra slowdown of the victim by one running task of the cause: 0.5 means half as slow again.
+struct PairEstimate {
+  double m_extra = 0.0;
+  Time m_learned{};
+};
+
+struct InterferenceModel {
+  std::map<std::pair<ClassName, ClassName>, PairEstimate> m_pairs;  ///< By victim and cause.
+};
+
+/// Mean number of running tasks of one class.
+struct RunningClass {
+  ClassName m_class;
+  double m_tasks = 0.0;
+};
+
+/// Learns that `victim` took `slowdown` times as long as alone beside `running`, which does not
+/// contain the victim's own class.
+void LearnInterference(InterferenceModel& model, const InterferenceOptions& options,
+                       const ClassName& victim, double slowdown,
+                       const std::vector<RunningClass>& running, Time now);
+
+/// Returns the extra slowdown of `victim` by one task of `cause`.
+[[nodiscard]] double PairSlowdown(const InterferenceModel& model,
+                                  const InterferenceOptions& options, const ClassName& victim,
+                                  const ClassName& cause, Time now);
+
+}  // namespace ebonypin::core
--- a/packages/core/include/ebonypin/core/slot_plan.h
+++ b/packages/core/include/ebonypin/core/slot_plan.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include "ebonypin/core/ids.h"
@@ -30,6 +31,9 @@
   Duration m_evict_after = std::chrono::seconds{20};
   /// A job is not evicted within this time after its start following an eviction.
   Duration m_evict_again_after = std::chrono::seconds{60};
+  /// Tasks resume and start only up to this share of the harm limit, so that they are not throttled
+  /// again by the next fluctuation.
+  double m_resume_harm = 0.7;
 };
 
 /// Demand of short work at one time.
@@ -55,6 +59,8 @@
   Time m_throttled_at{};         ///< Meaningful when throttled.
   bool m_can_checkpoint = true;  ///< False: never evicted.
   Duration m_expected_left{};    ///< Zero when not known.
+  /// Predicted extra slowdown of the short work here by this task; see interference.h.
+  double m_harm = 0.0;
 };
 
 struct SlotPlanInput {
@@ -64,15 +70,19 @@
   std::uint32_t m_short_queued = 0;  ///< Short work waiting here.
   /// Short work misses its target here although it has slots (interference): batch shrinks.
   bool m_short_target_missed = false;
+  /// Extra slowdown that short work bears without missing its target.
+  double m_harm_limit = std::numeric_limits<double>::infinity();
   std::vector<BatchTask> m_batch;
 };
 
 struct SlotPlan {
   std::uint32_t m_batch_limit = 0;  ///< Slots that batch work may hold now.
   std::uint32_t m_admit = 0;        ///< New batch tasks that may start now.
-  std::vector<JobId> m_throttle;    ///< To be throttled to zero now.
-  std::vector<JobId> m_resume;      ///< To be released from throttling now.
-  std::vector<JobId> m_evict;       ///< To be checkpointed and handed back; at most one per call.
+  /// Largest harm of a new task that may start now.
+  double m_admit_harm = std::numeric_limits<double>::infinity();
+  std::vector<JobId> m_throttle;  ///< To be throttled to zero now.
+  std::vector<JobId> m_resume;    ///< To be released from throttling now.
+  std::vector<JobId> m_evict;     ///< To be checkpointed and handed back; at most one per call.
 };
 
 /// Plans the slots of one worker. Call at each arrival and end of short work and about each 50 ms.
--- /dev/null
+++ b/packages/core/src/interference.cc
@@ -0,0 +1,39 @@
+#include "ebonypin/core/interference.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ebonypin::core {
+
+double PairSlowdown(const InterferenceModel& model, const InterferenceOptions& options,
+                    const ClassName& victim, const ClassName& cause, const Time now) {
+  const auto found = model.m_pairs.find({victim, cause});
+  if (found == model.m_pairs.end()) return options.m_prior;
+  const auto age = static_cast<double>((now - found->second.m_learned).count());
+  const double keep = std::exp2(-age / static_cast<double>(options.m_half_life.count()));
+  return options.m_prior + (found->second.m_extra - options.m_prior) * keep;
+}
+
+void LearnInterference(InterferenceModel& model, const InterferenceOptions& options,
+                       const ClassName& victim, const double slowdown,
+                       const std::vector<RunningClass>& running, const Time now) {
+  double predicted = 0.0;
+  double square = 0.0;
+  for (const RunningClass& cause : running) {
+    predicted += cause.m_tasks * PairSlowdown(model, options, victim, cause.m_class, now);
+    square += cause.m_tasks * cause.m_tasks;
+  }
+  // Fractions of a task say little: they must not move the estimate of a whole one.
+  if (square < 0.01) return;
+  const double error = std::max(0.0, slowdown - 1.0) - predicted;
+  for (const RunningClass& cause : running) {
+    if (cause.m_tasks <= 0.0) continue;
+    const double before = PairSlowdown(model, options, victim, cause.m_class, now);
+    // Normalised least mean squares: causes share the error by how much of them ran.
+    const double step = options.m_rate * error * cause.m_tasks / std::max(1.0, square);
+    model.m_pairs[{victim, cause.m_class}] = {
+        .m_extra = std::clamp(before + step, 0.0, options.m_largest), .m_learned = now};
+  }
+}
+
+}  // namespace ebonypin::core
--- a/packages/core/src/slot_plan.cc
+++ b/packages/core/src/slot_plan.cc
@@ -74,13 +74,25 @@
   for (const BatchTask& task : input.m_batch) {
     (task.m_throttled ? throttled : running).push_back(&task);
   }
-  if (running.size() > state.m_limit) {
-    // The latest started has lost least when it has to be evicted later.
-    std::sort(running.begin(), running.end(), [](const BatchTask* a, const BatchTask* b) {
-      return a->m_started != b->m_started ? a->m_started > b->m_started : a->m_job < b->m_job;
-    });
-    const std::size_t excess = running.size() - state.m_limit;
-    for (std::size_t i = 0; i < excess; ++i) plan.m_throttle.push_back(running[i]->m_job);
+  // The least harmful go on; among equals the latest started is throttled, because it has lost
+  // least when it has to be evicted later.
+  std::sort(running.begin(), running.end(), [](const BatchTask* a, const BatchTask* b) {
+    if (a->m_harm != b->m_harm) return a->m_harm < b->m_harm;
+    return a->m_started != b->m_started ? a->m_started < b->m_started : a->m_job < b->m_job;
+  });
+  const double limit = input.m_harm_limit;
+  double harm = 0.0;
+  std::size_t kept = 0;
+  for (const BatchTask* const task : running) {
+    if (kept < state.m_limit && (task->m_harm <= 0.0 || harm + task->m_harm <= limit)) {
+      harm += task->m_harm;
+      ++kept;
+    } else {
+      plan.m_throttle.push_back(task->m_job);
+    }
+  }
+  if (!plan.m_throttle.empty()) {
+    plan.m_admit_harm = 0.0;
     return plan;
   }
   // The longest throttled resumes first, and all of them before new tasks start.
@@ -88,17 +100,23 @@
     return a->m_throttled_at != b->m_throttled_at ? a->m_throttled_at < b->m_throttled_at
                                                   : a->m_job < b->m_job;
   });
-  std::size_t free = state.m_limit - running.size();
-  std::size_t next = 0;
-  while (free > 0 && next < throttled.size()) {
-    plan.m_resume.push_back(throttled[next]->m_job);
-    ++next;
-    --free;
+  const double resume_limit = options.m_resume_harm * limit;
+  std::size_t free = state.m_limit - kept;
+  std::vector<const BatchTask*> waiting;
+  for (const BatchTask* const task : throttled) {
+    if (free > 0 && (task->m_harm <= 0.0 || harm + task->m_harm <= resume_limit)) {
+      plan.m_resume.push_back(task->m_job);
+      harm += task->m_harm;
+      --free;
+    } else {
+      waiting.push_back(task);
+    }
   }
   plan.m_admit = static_cast<std::uint32_t>(free);
-  for (; next < throttled.size(); ++next) {
-    if (MayEvict(*throttled[next], options, input.m_now)) {
-      plan.m_evict.push_back(throttled[next]->m_job);
+  plan.m_admit_harm = std::max(0.0, resume_limit - harm);
+  for (const BatchTask* const task : waiting) {
+    if (MayEvict(*task, options, input.m_now)) {
+      plan.m_evict.push_back(task->m_job);
       break;
     }
   }
--- a/packages/core/tests/slot_plan_test.cc
+++ b/packages/core/tests/slot_plan_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(RisingDemandIsPredicted);
   CPPUNIT_TEST(ThrottledTaskIsEvictedLastAndNotAgainWithinAMinute);
   CPPUNIT_TEST(MissedTargetShrinksBatch);
+  CPPUNIT_TEST(MostHarmfulTaskIsThrottledFirst);
   CPPUNIT_TEST(ShortWorkAlwaysKeepsASlot);
   CPPUNIT_TEST_SUITE_END();
 
@@ -94,6 +95,22 @@
     CPPUNIT_ASSERT_EQUAL(1U, worker.Plan(100ms, 0).m_batch_limit);
   }
 
+  /// Guards against throttling harmless work for the harm done by another class.
+  void MostHarmfulTaskIsThrottledFirst() {
+    Worker worker;
+    for (int i = 0; i < 30; ++i) worker.Plan(100ms, 0);
+    for (const std::string job : {"harmless", "harmful", "mild"}) worker.Start(job);
+    worker.m_input.m_batch[1].m_harm = 0.9;
+    worker.m_input.m_batch[2].m_harm = 0.3;
+    worker.m_input.m_harm_limit = 1.0;
+    CPPUNIT_ASSERT(worker.Plan(100ms, 1).m_throttle == std::vector<JobId>{{"harmful"}});
+    const SlotPlan later = worker.Plan(100ms, 1);
+    CPPUNIT_ASSERT(later.m_resume.empty() && later.m_admit > 0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, later.m_admit_harm, 0.001);
+    worker.m_input.m_batch[1].m_harm = 0.3;
+    CPPUNIT_ASSERT(worker.Plan(100ms, 1).m_resume == std::vector<JobId>{{"harmful"}});
+  }
+
   void ShortWorkAlwaysKeepsASlot() {
     CPPUNIT_ASSERT(rc::check("batch never holds what short work holds or the last free slot", [] {
       Worker worker;
