--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,14 @@
 fuzz: deps
 	@scripts/fuzz.sh $(SECONDS) $(SEED) $(JOBS)
 
+# Plays faults on real processes for SECONDS seconds from SEED and judges what callers and workers saw.
+chaos: build
+	@$(BUILD)/bin/ebonypin_chaos --bin=$(BUILD)/bin --folder=$(BUILD)/chaos --seconds=$(SECONDS) --seed=$(SEED)
+
+# Measures added latency, requests/s and appends/s on loopback, SECONDS seconds each.
+latency: build
+	@scripts/latency.sh $(BUILD) $(SECONDS)
+
 generate:
 	@scripts/generate.sh
 
