Play the benchmark with one entry in each failure domain

Cause: a single entry knows all requests in flight, so that herding on stale reports cannot show. Conclusion: several entries are the default.

--- a/packages/bench/src/bench_main.cc
+++ b/packages/bench/src/bench_main.cc
@@ -11,6 +11,7 @@
 DEFINE_string(cases, "", "run only the cases whose name contains this text");
 
 DEFINE_uint32(throttle_ms, 5, "time until a throttled task has freed its slot");
+DEFINE_uint32(entries, 0, "entries that share the agents; 0 for one in each failure domain");
 DEFINE_string(without, "", "mechanisms to switch off, separated by commas; see docs/policy.md");
 
 int main(int argc, char** argv) {
@@ -18,6 +19,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   ebonypin::bench::Report report;
   report.m_throttle_delay = std::chrono::milliseconds{FLAGS_throttle_ms};
+  report.m_entries = FLAGS_entries;
   std::istringstream names(FLAGS_without);
   for (std::string name; std::getline(names, name, ',');) report.m_without.insert(name);
   for (const auto& one : ebonypin::bench::Cases()) {
--- a/packages/bench/src/case_tools.cc
+++ b/packages/bench/src/case_tools.cc
@@ -7,6 +7,7 @@
 RunResult PlayAndCount(Report& report, const Scenario& scenario, const std::string& policy,
                        const MakePolicy make, const std::uint64_t seed) {
   Scenario played = scenario;
+  played.m_entries = report.m_entries;
   played.m_endpoint.m_throttle_delay = report.m_throttle_delay;
   World world(played, seed, report.m_without);
   RunResult result = world.Play(make);
--- a/packages/bench/src/ebonypin.cc
+++ b/packages/bench/src/ebonypin.cc
@@ -14,33 +14,27 @@
 /// An agent that refused a job is not asked again within this time.
 constexpr Duration kRefusedFor = std::chrono::milliseconds{100};
 
-class EbonypinPolicy final : public Policy {
+/// One entry. Its jobs are those that arrived at it, like the jobs of the shards that it owns.
+class EntryDriver {
  public:
-  explicit EbonypinPolicy(World& world)
+  EntryDriver(World& world, std::vector<std::unique_ptr<AgentDriver>>& agents,
+              const std::uint32_t domain)
       : m_world(world),
-        m_jobs(world.m_result.m_items.size()),
+        m_agents(agents),
+        m_domain(domain),
         m_models(world.GetScenario().m_classes.size()),
         m_refused_at(world.m_endpoints.size()) {
-    m_options.m_placement.m_own_domain = DomainName(0);
+    m_options.m_placement.m_own_domain = DomainName(domain);
     m_options.m_admission = world.With("admission");
     m_options.m_hedge = world.With("hedge");
     m_options.m_placement.m_domain_price = 2 * world.GetScenario().m_link.m_remote;
     if (!world.With("distance")) m_options.m_placement.m_domain_price = Duration{0};
     if (!world.With("probes")) m_options.m_placement.m_probes = 1;
-    for (std::uint32_t worker = 0; worker < world.m_endpoints.size(); ++worker) {
-      m_agents.push_back(std::make_unique<AgentDriver>(world, worker));
-      m_agents.back()->m_on_job_end = [this, worker](const Task& task, const bool done) {
-        m_world.m_loop.After(m_world.Travel(worker), [this, task, done] { OnJobEnd(task, done); });
-      };
-      m_agents.back()->m_on_evicted = [this, worker](const Task& task) {
-        m_world.m_loop.After(m_world.Travel(worker), [this, task] { OnEvicted(task); });
-      };
-      SendHeartbeat(worker);
-    }
+    for (std::uint32_t worker = 0; worker < agents.size(); ++worker) SendHeartbeat(worker);
     Tick();
   }
 
-  void Arrive(const std::uint64_t item) override {
+  void Arrive(const std::uint64_t item) {
     const WorkClass& work = m_world.ClassOf(item);
     if (work.m_spec.m_kind == core::ClassKind::kJob) {
       AcceptJob(item);
@@ -54,7 +48,7 @@
                          work.m_spec));
   }
 
-  void Cancel(const std::uint64_t item) override {
+  void Cancel(const std::uint64_t item) {
     if (m_world.ClassOf(item).m_spec.m_kind != core::ClassKind::kJob) {
       Take(core::OnCancel(m_dispatch, Context(), item));
       return;
@@ -70,14 +64,18 @@
     }
     m_world.Answer(item, core::AnswerKind::kUnknown, core::ErrorKind::kCancelled);
     if (job.m_worker) {
-      m_world.m_loop.After(m_world.Travel(*job.m_worker), [this, item, worker = *job.m_worker] {
+      m_world.m_loop.After(Travel(*job.m_worker), [this, item, worker = *job.m_worker] {
         m_agents[worker]->CancelJob(item);
       });
     }
   }
 
-  void OnUsage(const std::uint32_t worker, const std::vector<ClassUsage>& usage) override {
-    m_agents[worker]->OnUsage(usage);
+  void OnJobEnd(const std::uint32_t worker, const Task& task, const bool done) {
+    m_world.m_loop.After(Travel(worker), [this, task, done] { FinishJob(task, done); });
+  }
+
+  void OnEvicted(const std::uint32_t worker, const Task& task) {
+    m_world.m_loop.After(Travel(worker), [this, task] { RequeueJob(task); });
   }
 
  private:
@@ -97,6 +95,8 @@
     return static_cast<std::uint32_t>(std::stoul(agent.m_value));
   }
 
+  Duration Travel(const std::uint32_t worker) { return m_world.Travel(worker, m_domain); }
+
   core::DispatchContext Context() {
     return {m_fleet, m_options, m_world.m_loop.Now(), m_world.m_random,
             m_world.With("ejection") ? &m_ejection : nullptr};
@@ -109,7 +109,7 @@
                                     .m_capacity = m_world.m_endpoints[worker]->Options().m_capacity,
                                     .m_slots = m_world.m_endpoints[worker]->Options().m_slots,
                                     .m_load = m_agents[worker]->Load()};
-    m_world.m_loop.After(m_world.Travel(worker), [this, heartbeat] {
+    m_world.m_loop.After(Travel(worker), [this, heartbeat] {
       core::ObserveHeartbeat(m_fleet, heartbeat, m_world.m_loop.Now());
     });
     m_world.m_loop.After(kHeartbeat, [this, worker] { SendHeartbeat(worker); });
@@ -131,10 +131,10 @@
 
   void CarryOut(const core::SendRun& send) {
     const std::uint32_t worker = WorkerOf(send.m_agent);
-    const Duration travel = m_world.Travel(worker);
+    const Duration travel = Travel(worker);
     m_world.m_loop.After(travel, [this, send, worker, travel] {
       m_agents[worker]->OnRun(send.m_run, travel, [this, worker](const core::RunReply& reply) {
-        m_world.m_loop.After(m_world.Travel(worker), [this, worker, reply] {
+        m_world.m_loop.After(Travel(worker), [this, worker, reply] {
           Take(core::OnRunReply(m_dispatch, Context(), AgentName(worker), reply));
         });
       });
@@ -146,7 +146,7 @@
 
   void CarryOut(const core::SendCancel& send) {
     const std::uint32_t worker = WorkerOf(send.m_agent);
-    m_world.m_loop.After(m_world.Travel(worker), [this, worker, request = send.m_cancel.m_request] {
+    m_world.m_loop.After(Travel(worker), [this, worker, request = send.m_cancel.m_request] {
       m_agents[worker]->OnCancel(request);
     });
   }
@@ -214,9 +214,9 @@
 
   void SendReserve(const std::uint64_t item, const std::uint32_t worker) {
     m_jobs[item].m_worker = worker;
-    m_world.m_loop.After(m_world.Travel(worker), [this, item, worker] {
+    m_world.m_loop.After(Travel(worker), [this, item, worker] {
       const bool granted = m_agents[worker]->Reserve(item, m_jobs[item].m_size);
-      m_world.m_loop.After(m_world.Travel(worker),
+      m_world.m_loop.After(Travel(worker),
                            [this, item, worker, granted, load = m_agents[worker]->Load()] {
                              OnReserved(item, worker, granted, load);
                            });
@@ -243,13 +243,13 @@
     const double left = job.m_left_us >= 0.0
                             ? job.m_left_us
                             : static_cast<double>(m_world.Item(item).m_run.count());
-    m_world.m_loop.After(kAppend + m_world.Travel(worker), [this, item, worker, left] {
+    m_world.m_loop.After(kAppend + Travel(worker), [this, item, worker, left] {
       if (m_jobs[item].m_closed) return;
       m_agents[worker]->StartJob(item, m_jobs[item].m_attempt, left, Duration{0});
     });
   }
 
-  void OnJobEnd(const Task& task, const bool done) {
+  void FinishJob(const Task& task, const bool done) {
     Job& job = m_jobs[task.m_id];
     if (m_world.With("ejection") && job.m_worker) {
       core::RecordOutcome(m_ejection, m_fleet, m_options.m_ejection, AgentName(*job.m_worker), done,
@@ -270,7 +270,7 @@
     PumpJobs();
   }
 
-  void OnEvicted(const Task& task) {
+  void RequeueJob(const Task& task) {
     Job& job = m_jobs[task.m_id];
     if (job.m_closed) return;
     job.m_worker.reset();
@@ -280,16 +280,51 @@
   }
 
   World& m_world;
+  std::vector<std::unique_ptr<AgentDriver>>& m_agents;
+  const std::uint32_t m_domain;
   core::FleetView m_fleet;
   core::DispatchOptions m_options;
   core::DispatchState m_dispatch;
   core::EjectionState m_ejection;
   core::WorkQueue m_queue;
   core::RunTimeOptions m_run_options;
-  std::vector<Job> m_jobs;
+  std::unordered_map<std::uint64_t, Job> m_jobs;
   std::vector<core::RunTimeModel> m_models;
   std::vector<Time> m_refused_at;
+};
+
+class EbonypinPolicy final : public Policy {
+ public:
+  explicit EbonypinPolicy(World& world) {
+    const Scenario& scenario = world.GetScenario();
+    const std::uint32_t entries = scenario.m_entries > 0 ? scenario.m_entries : scenario.m_domains;
+    for (std::uint32_t worker = 0; worker < world.m_endpoints.size(); ++worker) {
+      m_agents.push_back(std::make_unique<AgentDriver>(world, worker));
+      m_agents.back()->m_on_job_end = [this, worker](const Task& task, const bool done) {
+        EntryOf(task.m_id).OnJobEnd(worker, task, done);
+      };
+      m_agents.back()->m_on_evicted = [this, worker](const Task& task) {
+        EntryOf(task.m_id).OnEvicted(worker, task);
+      };
+    }
+    for (std::uint32_t entry = 0; entry < entries; ++entry) {
+      m_entries.push_back(
+          std::make_unique<EntryDriver>(world, m_agents, entry % scenario.m_domains));
+    }
+  }
+
+  void Arrive(const std::uint64_t item) override { EntryOf(item).Arrive(item); }
+  void Cancel(const std::uint64_t item) override { EntryOf(item).Cancel(item); }
+  void OnUsage(const std::uint32_t worker, const std::vector<ClassUsage>& usage) override {
+    m_agents[worker]->OnUsage(usage);
+  }
+
+ private:
+  /// The balancer spreads callers evenly over the entries.
+  EntryDriver& EntryOf(const std::uint64_t item) { return *m_entries[item % m_entries.size()]; }
+
   std::vector<std::unique_ptr<AgentDriver>> m_agents;
+  std::vector<std::unique_ptr<EntryDriver>> m_entries;
 };
 
 }  // namespace
--- a/packages/bench/src/fakes/trace.h
+++ b/packages/bench/src/fakes/trace.h
@@ -45,6 +45,7 @@
   Duration m_length{};  ///< Arrivals end here.
   std::uint32_t m_workers = 11;
   std::uint32_t m_domains = 3;
+  std::uint32_t m_entries = 0;  ///< Zero: one in each domain.
   LinkOptions m_link;
   EndpointOptions m_endpoint;
   std::optional<std::uint32_t> m_failing_worker;
--- a/packages/bench/src/report.h
+++ b/packages/bench/src/report.h
@@ -31,6 +31,7 @@
   std::vector<Bound> m_bounds;
   double m_breaches = 0.0;
   Without m_without;
+  std::uint32_t m_entries = 0;  ///< Zero: one in each failure domain.
   Duration m_throttle_delay = std::chrono::milliseconds{5};
 };
 
--- a/packages/bench/src/world.h
+++ b/packages/bench/src/world.h
@@ -76,9 +76,9 @@
   [[nodiscard]] bool With(const std::string& mechanism) const {
     return !m_without.contains(mechanism);
   }
-  /// Delay between the entry, which is in domain 0, and a worker.
-  [[nodiscard]] Duration Travel(std::uint32_t worker) {
-    return LinkDelay(m_scenario.m_link, DomainOf(worker) != 0, m_random);
+  /// Delay between an entry in `domain` and a worker.
+  [[nodiscard]] Duration Travel(std::uint32_t worker, std::uint32_t domain = 0) {
+    return LinkDelay(m_scenario.m_link, DomainOf(worker) != domain, m_random);
   }
 
   /// Starts `item` with `left_us` of work, throttled if asked; `travel` is the way it came.
