--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -12,17 +12,6 @@
 
 using namespace std::chrono_literals;
 
-/// Returns an address on loopback whose port was free a moment ago.
-std::string FreeAddress() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{.sin_family = AF_INET, .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
-  socklen_t size = sizeof(address);
-  (void)::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 HttpResult Send(const std::string& address, const std::string& method, const std::string& path,
                 const std::string& body) {
   try {
@@ -46,6 +35,16 @@
 
 }  // namespace
 
+std::string FreeAddress() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{.sin_family = AF_INET, .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+  socklen_t size = sizeof(address);
+  (void)::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
+  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+  ::close(socket);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
 std::string HttpResult::Text(const std::string& field) const {
   return m_body.is_object() && m_body.has_string_field(field) ? m_body.at(field).as_string() : "";
 }
--- a/packages/daemon/scenarios/site.h
+++ b/packages/daemon/scenarios/site.h
@@ -81,6 +81,9 @@
   std::vector<std::unique_ptr<Role>> m_entries;
 };
 
+/// Returns an address on loopback whose port was free a moment ago.
+std::string FreeAddress();
+
 /// Waits until `condition` holds, for at most 20 s. Returns whether it does.
 bool WaitUntil(const std::function<bool()>& condition);
 
