Wait for unsent replies before the planned stop ends

Under ThreadSanitizer the last reply of a planned stop was lost in 1 of 2 runs: the run had left the ledger while its reply had not yet been handed to the RPC thread.

--- a/packages/daemon/src/agent/agent_driver.cc
+++ b/packages/daemon/src/agent/agent_driver.cc
@@ -72,7 +72,7 @@
   const auto now = Now();
   const bool told = m_stop_told || now - m_stop_began >= kStopAnnounced;
   // An agent that never learned what its worker runs has nothing to finish.
-  const bool done = core::IsDrained(m_ledger) || !m_ledger.m_ready;
+  const bool done = (core::IsDrained(m_ledger) || !m_ledger.m_ready) && m_replies.empty();
   return done && told && now - m_last_reply >= kReplyLeaves;
 }
 
