Eject failing workers and rewrite old records

Cause: a worker that fails everything kept its share of work, and records older than the log's retention were lost to new entries.

Change: requests and jobs feed core/ejection.h; the naive policy uses neither ejection, hedging nor admission.

Conclusion: classes and open jobs outlive the log's retention.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -28,6 +28,7 @@
   // [log]
   std::string m_log_url;  ///< Base URL of the log service.
   core::Duration m_log_timeout = std::chrono::seconds{2};
+  core::Duration m_log_retention = std::chrono::hours{24};  ///< Age at which the log drops records.
   std::uint32_t m_max_appends_per_second = 100;
 
   // [worker], agents only
--- a/packages/daemon/scenarios/entry_test.cc
+++ b/packages/daemon/scenarios/entry_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ConcurrentChangesHaveOneWinner);
   CPPUNIT_TEST(WatchCursorContinuesOnAnotherEntry);
   CPPUNIT_TEST(PlannedStopFinishesRequestsAndHandsOverJobs);
+  CPPUNIT_TEST(OpenJobsAndClassesOutliveTheLogsRetention);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,6 +185,30 @@
     }
     CPPUNIT_ASSERT_EQUAL(20, agent.Starts());
   }
+
+  /// Guards against classes and open jobs that a new entry cannot learn from a log that has dropped
+  /// their first records.
+  void OpenJobsAndClassesOutliveTheLogsRetention() {
+    // Rewrites take two turns of 2 s after half of the retention.
+    Site site(1, std::chrono::seconds{12});
+    const ScriptedAgent agent("agent", site.RpcAddresses());
+    site.CreateClass("render", kJob);
+    const auto job = site.Call(0, "POST", "/v1/jobs", Work("r", "render", "hold"));
+    CPPUNIT_ASSERT_EQUAL(202, job.m_status);
+    const auto accepted =
+        site.Call(0, "GET", job.Text("location")).m_body.at("accepted_offset").as_integer();
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const auto log = site.Call(0, "GET", "/v1/status").m_body.at("log");
+      return log.at("config").at("first_kept").as_integer() > 1 &&
+             log.at("jobs").at("first_kept").as_integer() > accepted;
+    }));
+    site.StopEntry(0);
+    site.StartEntry(0);
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return site.Call(0, "GET", "/v1/classes/render").m_status == 200; }));
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return site.Call(0, "GET", job.Text("location")).m_status == 200; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -1,5 +1,6 @@
 #include "site.h"
 
+#include <gflags/gflags.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -7,6 +8,8 @@
 #include <thread>
 #include <utility>
 
+DECLARE_int64(log_max_age_ms);
+
 namespace ebonypin::daemon {
 namespace {
 
@@ -162,25 +165,17 @@
   return m_starts;
 }
 
-Site::Site(const std::size_t entries) : m_log_address(FreeAddress()) {
+Site::Site(const std::size_t entries, const core::Duration retention)
+    : m_retention(retention), m_log_address(FreeAddress()) {
+  FLAGS_log_max_age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(retention).count();
   m_log = standin::CreateStandin("log", m_log_address);
   m_log->Start();
   for (std::size_t i = 0; i < entries; ++i) {
     m_http.push_back(FreeAddress());
     m_rpc.push_back(FreeAddress());
   }
-  for (std::size_t i = 0; i < entries; ++i) {
-    const config::Settings settings{.m_role = "entry",
-                                    .m_id = "entry-" + std::to_string(i),
-                                    .m_region = "test",
-                                    .m_domain = "d",
-                                    .m_http_address = m_http[i],
-                                    .m_rpc_address = m_rpc[i],
-                                    .m_seeds = m_rpc,
-                                    .m_log_url = "http://" + m_log_address};
-    m_entries.push_back(CreateRole("entry", settings));
-    m_entries.back()->Start();
-  }
+  m_entries.resize(entries);
+  for (std::size_t i = 0; i < entries; ++i) StartEntry(i);
   for (std::size_t i = 0; i < entries; ++i) {
     WaitUntil([&] {
       const auto status = Call(i, "GET", "/v1/status");
@@ -190,6 +185,20 @@
   }
 }
 
+void Site::StartEntry(const std::size_t entry) {
+  const config::Settings settings{.m_role = "entry",
+                                  .m_id = "entry-" + std::to_string(entry),
+                                  .m_region = "test",
+                                  .m_domain = "d",
+                                  .m_http_address = m_http[entry],
+                                  .m_rpc_address = m_rpc[entry],
+                                  .m_seeds = m_rpc,
+                                  .m_log_url = "http://" + m_log_address,
+                                  .m_log_retention = m_retention};
+  m_entries[entry] = CreateRole("entry", settings);
+  m_entries[entry]->Start();
+}
+
 Site::~Site() {
   m_entries.clear();
   m_log.reset();
--- a/packages/daemon/scenarios/site.h
+++ b/packages/daemon/scenarios/site.h
@@ -56,12 +56,15 @@
 
 class Site {
  public:
-  /// Starts the log and `entries` entries, and waits until each can accept jobs.
-  explicit Site(std::size_t entries);
+  /// Starts the log, which keeps entries for `retention`, and `entries` entries, and waits until
+  /// each can accept jobs.
+  explicit Site(std::size_t entries, core::Duration retention = std::chrono::hours{24});
   ~Site();
 
   [[nodiscard]] Role& Entry(std::size_t entry) { return *m_entries[entry]; }
   void StopEntry(std::size_t entry) { m_entries[entry].reset(); }
+  /// Starts an entry at the address of a stopped one.
+  void StartEntry(std::size_t entry);
   [[nodiscard]] std::vector<std::string> RpcAddresses() const { return m_rpc; }
 
   /// Calls entry number `entry`; a status of 0 means that there was no answer.
@@ -74,6 +77,7 @@
   void SetFaults(const std::string& json) const;
 
  private:
+  const core::Duration m_retention;
   std::string m_log_address;
   std::vector<std::string> m_http;
   std::vector<std::string> m_rpc;
--- a/packages/daemon/src/entry/config_service.cc
+++ b/packages/daemon/src/entry/config_service.cc
@@ -110,6 +110,22 @@
   return changes;
 }
 
+void ConfigService::Rewrite(const core::Duration retention) {
+  if (!m_stream->IsCaughtUp() || !m_stream->IsReadable()) return;
+  std::vector<core::LogRecord> records;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto offset = m_table.m_read_offset;
+    if (!m_offsets) m_offsets = core::MakeOffsetClock(offset, retention, Now());
+    core::NoteOffset(*m_offsets, offset, Now());
+    const auto before = core::OffsetBefore(*m_offsets, retention / 2, Now());
+    records = core::RewritesBefore(m_table, before, WallNow());
+  }
+  for (auto& record : records) {
+    m_stream->Submit(std::move(record), [](const platform::AppendOutcome&) {});
+  }
+}
+
 void ConfigService::Adopt(const core::EntryHeartbeatReply& reply) {
   bool adopted = false;
   {
--- a/packages/daemon/src/entry/config_service.h
+++ b/packages/daemon/src/entry/config_service.h
@@ -8,6 +8,7 @@
 
 #include "ebonypin/core/config_table.h"
 #include "ebonypin/core/messages.h"
+#include "ebonypin/core/offset_clock.h"
 #include "log_stream.h"
 
 namespace ebonypin::daemon {
@@ -42,6 +43,9 @@
   [[nodiscard]] std::vector<core::AuditEntry> Audit(core::LogOffset before,
                                                     std::size_t limit) const;
 
+  /// Rewrites what is in force before the log's `retention` drops it. Call it about once a second.
+  void Rewrite(core::Duration retention);
+
   /// Takes over what a peer taught when it is newer.
   void Adopt(const core::EntryHeartbeatReply& reply);
 
@@ -53,6 +57,7 @@
   LogStream* m_stream = nullptr;
   mutable std::mutex m_mutex;
   core::ConfigTable m_table;
+  std::optional<core::OffsetClock> m_offsets;  ///< From the first read to the end on.
 };
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -21,6 +21,21 @@
 constexpr core::Duration kAliveInterval = 30s;
 constexpr core::Duration kOwnerInterval = 100ms;
 
+bool IsNaive(const config::Settings& settings) { return settings.m_policy == "naive"; }
+
+/// The naive policy takes one agent at random.
+core::PlacementOptions PlacementOptionsOf(const config::Settings& settings) {
+  core::PlacementOptions options{.m_own_domain = {settings.m_domain}};
+  if (IsNaive(settings)) options.m_probes = 1;
+  return options;
+}
+
+core::DispatchOptions DispatchOptionsOf(const config::Settings& settings) {
+  return {.m_placement = PlacementOptionsOf(settings),
+          .m_hedge = !IsNaive(settings),
+          .m_admission = !IsNaive(settings)};
+}
+
 class EntryRole final : public Role {
  public:
   explicit EntryRole(config::Settings settings)
@@ -39,13 +54,15 @@
                     },
                 .m_on_reset = [this] { m_owner.OnReset(); }}),
         m_watches(m_timers),
-        m_requests(m_timers, Caller(), {.m_placement = {.m_own_domain = {m_settings.m_domain}}},
+        m_requests(m_timers, Caller(), DispatchOptionsOf(m_settings), !IsNaive(m_settings),
                    m_self.m_incarnation),
         m_members({.m_self = m_self, .m_seeds = m_settings.m_seeds}, Caller(), m_config, m_jobs,
                   m_requests),
         m_owner(m_events,
                 {.m_owner = {.m_entry = m_self.m_entry, .m_incarnation = m_self.m_incarnation},
-                 .m_placement = {.m_own_domain = {m_settings.m_domain}},
+                 .m_placement = PlacementOptionsOf(m_settings),
+                 .m_retention = m_settings.m_log_retention,
+                 .m_eject = !IsNaive(m_settings),
                  .m_seed = m_self.m_incarnation},
                 Caller(), m_config, m_jobs, m_members) {}
 
@@ -93,6 +110,9 @@
         m_members.AppendAlive();
         m_alive_due = Now() + kAliveInterval;
       }
+      const auto live = m_members.Live();
+      // One entry is enough, and repeated rewrites are void.
+      if (live.front().m_entry == m_self.m_entry) m_config.Rewrite(m_settings.m_log_retention);
       Report(m_requests.Sweep());
     });
     m_events.Every(kOwnerInterval, [this] { m_owner.Tick(); });
--- a/packages/daemon/src/entry/owner_service.cc
+++ b/packages/daemon/src/entry/owner_service.cc
@@ -54,6 +54,7 @@
   // Counted until the agent's next report shows the reservation.
   core::CountSent(m_fleet, *placed.m_agent, job.m_request.m_size);
   core::CountEnded(m_fleet, placement.m_agent, placement.m_incarnation);
+  if (m_options.m_eject) core::RecordSent(m_ejection, m_fleet, {}, placement.m_agent, Now());
   return placement;
 }
 
@@ -80,7 +81,14 @@
 }
 
 void OwnerService::OnLogRead(const core::Time asked) {
-  m_jobs.WithTable([&](const core::JobTable&) { core::OnLogRead(m_owner, asked); });
+  m_jobs.WithTable([&](const core::JobTable& table) {
+    core::OnLogRead(m_owner, asked);
+    if (!m_offsets) {
+      m_offsets = core::MakeOffsetClock(table.m_offset, m_options.m_retention, Now());
+    } else {
+      core::NoteOffset(*m_offsets, table.m_offset, Now());
+    }
+  });
 }
 
 std::vector<core::Grant> OwnerService::OnHeartbeat(const core::Heartbeat& heartbeat,
@@ -107,6 +115,10 @@
         report.m_phase == core::AttemptPhase::kEnded) {
       core::LearnRun(m_run_times[job->m_request.m_class], {}, report.m_run_time, report.m_used);
     }
+    if (m_options.m_eject && report.m_phase == core::AttemptPhase::kEnded) {
+      core::RecordOutcome(m_ejection, m_fleet, {}, report.m_agent,
+                          report.m_outcome != core::JobOutcome::kFailed, Now());
+    }
     const auto call = ++m_last_report;
     m_reports.emplace(call, std::move(reply));
     Post(core::OnTaskReport(m_owner, Context(table), call, report));
@@ -128,6 +140,7 @@
 void OwnerService::Sweep() {
   m_jobs.WithTable([&](const core::JobTable& table) {
     const auto swept = core::SweepFleet(m_fleet, {}, Now());
+    (void)core::SweepEjection(m_ejection, m_fleet, Now());
     for (const auto& agent : swept.m_removed) {
       Post(core::OnAgentRemoved(m_owner, Context(table), agent));
     }
@@ -139,6 +152,9 @@
     core::TickInput input;
     // A claim that is based on less than the whole log would disturb an owner.
     if (m_stream->IsCaughtUp() && m_stream->IsReadable()) input.m_plan = m_members.Plan(table);
+    if (m_offsets) {
+      input.m_rewrite_before = core::OffsetBefore(*m_offsets, m_options.m_retention / 2, Now());
+    }
     Post(core::OnTick(m_owner, Context(table), input));
   });
 }
--- a/packages/daemon/src/entry/owner_service.h
+++ b/packages/daemon/src/entry/owner_service.h
@@ -5,11 +5,13 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "config_service.h"
+#include "ebonypin/core/ejection.h"
 #include "ebonypin/core/fleet_view.h"
 #include "ebonypin/core/job_owner.h"
 #include "ebonypin/core/offset_clock.h"
@@ -26,6 +28,8 @@
 struct OwnerServiceOptions {
   core::JobOwnerOptions m_owner;
   core::PlacementOptions m_placement;
+  core::Duration m_retention{};  ///< Of the log; see [log] retention.
+  bool m_eject = true;
   std::uint64_t m_seed = 0;
 };
 
@@ -94,6 +98,8 @@
   core::JobOwner m_owner;
   core::OwnerPolicy m_policy;
   core::FleetView m_fleet;
+  core::EjectionState m_ejection;
+  std::optional<core::OffsetClock> m_offsets;  ///< From the first read to the end on.
   core::ConfigView m_classes;
   std::mt19937_64 m_random;
   std::unordered_map<core::ClassName, core::RunTimeModel> m_run_times;
--- a/packages/daemon/src/entry/request_service.cc
+++ b/packages/daemon/src/entry/request_service.cc
@@ -24,14 +24,17 @@
 }  // namespace
 
 RequestService::RequestService(EventThread& events, RpcCaller call, core::DispatchOptions options,
-                               const std::uint64_t seed)
-    : m_events(events), m_call(std::move(call)), m_options(std::move(options)) {
+                               const bool eject, const std::uint64_t seed)
+    : m_events(events), m_call(std::move(call)), m_options(std::move(options)), m_eject(eject) {
   for (std::size_t i = 0; i < m_shards.size(); ++i) m_shards[i].m_random.seed(seed + i);
 }
 
 core::DispatchContext RequestService::Context(Shard& shard) const {
-  return {
-      .m_fleet = shard.m_fleet, .m_options = m_options, .m_now = Now(), .m_random = shard.m_random};
+  return {.m_fleet = shard.m_fleet,
+          .m_options = m_options,
+          .m_now = Now(),
+          .m_random = shard.m_random,
+          .m_ejection = m_eject ? &shard.m_ejection : nullptr};
 }
 
 void RequestService::Run(const core::WorkRequest& request, const core::ClassSpec& spec,
@@ -130,6 +133,7 @@
   for (auto& shard : m_shards) {
     const std::lock_guard lock(shard.m_mutex);
     result = core::SweepFleet(shard.m_fleet, {}, Now());
+    (void)core::SweepEjection(shard.m_ejection, shard.m_fleet, Now());
   }
   return result;
 }
--- a/packages/daemon/src/entry/request_service.h
+++ b/packages/daemon/src/entry/request_service.h
@@ -30,7 +30,8 @@
  public:
   using AnswerFunction = std::function<void(const core::Answer&)>;
 
-  RequestService(EventThread& events, RpcCaller call, core::DispatchOptions options,
+  /// With `eject` false workers that fail what they start stay in use.
+  RequestService(EventThread& events, RpcCaller call, core::DispatchOptions options, bool eject,
                  std::uint64_t seed);
 
   /// Runs `request`; `done` is called exactly once, from any thread.
@@ -52,6 +53,7 @@
   struct Shard {
     mutable std::mutex m_mutex;
     core::FleetView m_fleet;
+    core::EjectionState m_ejection;
     core::DispatchState m_dispatch;
     std::mt19937_64 m_random;
     core::Ticket m_last_ticket = 0;
@@ -67,6 +69,7 @@
   EventThread& m_events;
   const RpcCaller m_call;
   const core::DispatchOptions m_options;
+  const bool m_eject;
   std::array<Shard, kRequestShards> m_shards;
   std::atomic<std::size_t> m_next_shard{0};
 };
