Keep callers' deadlines and drop refused bodies

A refused body was still read into memory to its end.

Change: the answer at the deadline is unknown with the job's id; reading ends when a body is refused.

Conclusion: neither a slow log nor a large body holds an entry.

--- a/packages/daemon/scenarios/entry_test.cc
+++ b/packages/daemon/scenarios/entry_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(WatchCursorContinuesOnAnotherEntry);
   CPPUNIT_TEST(PlannedStopFinishesRequestsAndHandsOverJobs);
   CPPUNIT_TEST(OpenJobsAndClassesOutliveTheLogsRetention);
+  CPPUNIT_TEST(DeadlineIsKeptWhileTheLogIsSlow);
+  CPPUNIT_TEST(LargeBodiesAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +211,36 @@
     CPPUNIT_ASSERT(
         WaitUntil([&] { return site.Call(0, "GET", job.Text("location")).m_status == 200; }));
   }
+
+  /// Guards against callers who wait for the log beyond their deadline, and against an answer that
+  /// denies a record which the log takes later.
+  void DeadlineIsKeptWhileTheLogIsSlow() {
+    const Site site(1);
+    const ScriptedAgent agent("agent", site.RpcAddresses());
+    site.CreateClass("certificate", R"("kind":"request","non_idempotent":true)");
+    site.SetFaults(R"({"slow_ms":900})");
+    const auto late = site.Call(0, "POST", "/v1/requests",
+                                Work("c", "certificate", "sleeve", R"(,"deadline_ms":100)"));
+    CPPUNIT_ASSERT_EQUAL(504, late.m_status);
+    CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, late.Text("answer"));
+    CPPUNIT_ASSERT_EQUAL(0, agent.Starts());
+    site.SetFaults(R"({"slow_ms":0})");
+    CPPUNIT_ASSERT(WaitUntil(
+        [&] { return site.Call(0, "GET", late.Text("location")).Text("outcome") == "succeeded"; }));
+    CPPUNIT_ASSERT_EQUAL(1, agent.Starts());
+  }
+
+  /// Guards against bodies that are kept in memory whatever their size.
+  void LargeBodiesAreRefused() {
+    const Site site(1);
+    const std::string large(std::size_t{8} << 20U, 'x');
+    for (int i = 0; i < 3; ++i) {
+      const auto refused = site.Call(0, "POST", "/v1/jobs", Work("r", "render", large));
+      CPPUNIT_ASSERT_EQUAL(400, refused.m_status);
+      CPPUNIT_ASSERT_EQUAL(std::string{"too_large"}, refused.ErrorKind());
+    }
+    CPPUNIT_ASSERT_EQUAL(200, site.Call(0, "GET", "/v1/status").m_status);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
--- a/packages/daemon/src/entry/http_server.cc
+++ b/packages/daemon/src/entry/http_server.cc
@@ -46,6 +46,12 @@
   return std::nullopt;
 }
 
+/// Ends the reading of the body, which would otherwise be kept in memory to its end.
+void DropBody(const http_request& request) {
+  request.body().streambuf().close(
+      std::ios_base::out, std::make_exception_ptr(std::runtime_error("the body was refused")));
+}
+
 }  // namespace
 
 HttpServer::HttpServer(const std::string& address) : m_listener("http://" + address) {
@@ -71,7 +77,10 @@
   ++m_counters.m_in_progress;
   ApiCall call{.m_arrived = Now()};
   try {
-    if (const auto error = CheckBody(request)) return Send(request, Refusal(*error));
+    if (const auto error = CheckBody(request)) {
+      DropBody(request);
+      return Send(request, Refusal(*error));
+    }
     const auto path = web::uri::split_path(request.relative_uri().path());
     bool known_path = false;
     for (const auto& route : m_routes) {
--- a/packages/daemon/src/entry/job_service.cc
+++ b/packages/daemon/src/entry/job_service.cc
@@ -85,7 +85,8 @@
   if (m_reader.m_on_reset) m_reader.m_on_reset();
 }
 
-void JobService::Accept(core::WorkRequest request, std::function<void(const AcceptOutcome&)> done) {
+core::JobId JobService::Accept(core::WorkRequest request,
+                               std::function<void(const AcceptOutcome&)> done) {
   core::JobAccepted record{.m_entry = m_options.m_entry, .m_wall = WallNow()};
   request.m_key = ScopedKey(request);
   std::optional<core::JobId> existing;
@@ -97,11 +98,11 @@
   }
   if (existing) {
     done({.m_kind = AnswerKind::kAccepted, .m_job = *existing});
-    return;
+    return *existing;
   }
   auto key = request.m_key;
   record.m_request = std::move(request);
-  const auto job = record.m_job;
+  auto job = record.m_job;
   m_stream->Submit(std::move(record), [this, job, key = std::move(key), done = std::move(done)](
                                           const platform::AppendOutcome& outcome) {
     switch (outcome.m_end) {
@@ -113,6 +114,7 @@
         return done({.m_kind = AnswerKind::kUnknown, .m_job = job, .m_error = outcome.m_error});
     }
   });
+  return job;
 }
 
 AcceptOutcome JobService::AcceptedAs(const core::JobId& job, const std::string& key) const {
--- a/packages/daemon/src/entry/job_service.h
+++ b/packages/daemon/src/entry/job_service.h
@@ -71,8 +71,9 @@
   [[nodiscard]] LogReader Reader();
   void SetStream(LogStream* stream) { m_stream = stream; }
 
-  /// Records `request` as a job. `done` is called once, after the read-back.
-  void Accept(core::WorkRequest request, std::function<void(const AcceptOutcome&)> done);
+  /// Records `request` as a job and returns its id. `done` is called once, after the read-back; it
+  /// may name an earlier job with the same key instead.
+  core::JobId Accept(core::WorkRequest request, std::function<void(const AcceptOutcome&)> done);
 
   void Cancel(const core::JobId& job, std::function<void(const CancelOutcome&)> done);
 
--- a/packages/daemon/src/entry/work_routes.cc
+++ b/packages/daemon/src/entry/work_routes.cc
@@ -1,4 +1,5 @@
-#include <algorithm>
+#include <atomic>
+#include <memory>
 
 #include "api_routes.h"
 #include "json_codec.h"
@@ -101,24 +102,42 @@
   return json;
 }
 
+/// Returns a function that passes on only its first answer.
+Respond FirstAnswer(const Respond& respond) {
+  return [respond, answered = std::make_shared<std::atomic_flag>()](const ApiAnswer& answer) {
+    if (!answered->test_and_set()) respond(answer);
+  };
+}
+
 void RunAsJob(const EntryParts& parts, core::WorkRequest request, const core::Time arrived,
               const Respond& respond) {
   const auto until = arrived + request.m_deadline.value_or(kDefaultDeadline);
   const auto id = request.m_id;
-  parts.m_jobs.Accept(
-      std::move(request), [&jobs = parts.m_jobs, id, until, respond](const AcceptOutcome& outcome) {
-        if (outcome.m_kind != AnswerKind::kAccepted) {
-          respond(ToApiAnswer({.m_kind = outcome.m_kind,
-                               .m_request = id,
-                               .m_job = outcome.m_job,
-                               .m_error = outcome.m_error}));
-          return;
-        }
-        jobs.WaitForEnd(outcome.m_job, until,
-                        [id, job = outcome.m_job, respond](const std::optional<JobView>& view) {
-                          respond(ToApiAnswer(AnswerOf(view.value_or(JobView{.m_job = job}), id)));
-                        });
-      });
+  const auto first = FirstAnswer(respond);
+  const auto recorded = [&jobs = parts.m_jobs, id, until, first](const AcceptOutcome& outcome) {
+    if (outcome.m_kind != AnswerKind::kAccepted) {
+      first(ToApiAnswer({.m_kind = outcome.m_kind,
+                         .m_request = id,
+                         .m_job = outcome.m_job,
+                         .m_error = outcome.m_error}));
+      return;
+    }
+    jobs.WaitForEnd(outcome.m_job, until,
+                    [id, job = outcome.m_job, first](const std::optional<JobView>& view) {
+                      first(ToApiAnswer(AnswerOf(view.value_or(JobView{.m_job = job}), id)));
+                    });
+  };
+  const auto job = parts.m_jobs.Accept(std::move(request), recorded);
+  // The log may take longer than the caller waits.
+  parts.m_events.At(until, [id, job, first] {
+    first(ToApiAnswer({.m_kind = AnswerKind::kUnknown,
+                       .m_request = id,
+                       .m_job = job,
+                       .m_error = core::Error{
+                           .m_kind = ErrorKind::kTimeout,
+                           .m_message = "the deadline has passed and the job may go on; ask for "
+                                        "its status"}}));
+  });
 }
 
 void ServeRequest(const EntryParts& parts, const ApiCall& call, const Respond& respond) {
