--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -10,22 +10,35 @@
 readonly LEAF_VERSION_PREFIX=1.81.0-
 readonly DEPS_DIR="${EBONYPIN_DEPS_DIR:-build/deps}"
 
-missing=()
-while read -r name; do
-  [[ -z "$name" || "$name" == \#* ]] && continue
-  dpkg-query -W -f='${Status}' "$name" 2>/dev/null | grep -q 'ok installed' || missing+=("$name")
-done < deps/packages.txt
+is_installed() { dpkg-query -W -f='${Status}' "$1" 2>/dev/null | grep -q 'ok installed'; }
 
-install_hint() {
-  echo "error: missing Debian package(s): $*" >&2
-  echo "install with: apt-get install -y $*" >&2
+# Sets `missing` to the declared packages that are not installed.
+find_missing() {
+  local name
+  missing=()
+  while read -r name; do
+    [[ -z "$name" || "$name" == \#* ]] && continue
+    is_installed "$name" || missing+=("$name")
+  done < deps/packages.txt
+}
+
+fail_missing() {
+  echo "error: missing Debian package(s): ${missing[*]}" >&2
+  echo "install with: apt-get update && apt-get install -y ${missing[*]}" >&2
   exit 3
 }
 
+find_missing
 if ((${#missing[@]} > 0)); then
-  if [[ "$(id -u)" -ne 0 ]]; then install_hint "${missing[@]}"; fi
-  apt-get update -qq || install_hint "${missing[@]}"
-  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" || install_hint "${missing[@]}"
+  if [[ "$(id -u)" -ne 0 ]]; then fail_missing; fi
+  echo "installing: ${missing[*]}"
+  export DEBIAN_FRONTEND=noninteractive
+  if ! { apt-get update -qq && apt-get install -y -qq "${missing[@]}"; } > /dev/null; then
+    # One package that cannot be installed keeps apt from installing the others.
+    for name in "${missing[@]}"; do apt-get install -y -qq "$name" > /dev/null 2>&1 || true; done
+  fi
+  find_missing
+  if ((${#missing[@]} > 0)); then fail_missing; fi
 fi
 
 if [[ ! -f "$DEPS_DIR/include/boost/leaf/result.hpp" ]]; then
@@ -34,7 +47,11 @@
   chmod 755 "$tmp"
   (cd "$tmp" && { apt-get download -qq "$LEAF_PACKAGE" 2>/dev/null ||
     { apt-get update -qq && apt-get download -qq "$LEAF_PACKAGE" 2>/dev/null; }; }) ||
-    { echo "error: cannot download $LEAF_PACKAGE" >&2; echo "try: apt-get download $LEAF_PACKAGE" >&2; exit 3; }
+    {
+      echo "error: missing Debian package: $LEAF_PACKAGE, whose headers are unpacked into $DEPS_DIR" >&2
+      echo "download with: apt-get update && apt-get download $LEAF_PACKAGE" >&2
+      exit 3
+    }
   deb=$(ls "$tmp"/"$LEAF_PACKAGE"_*.deb)
   version=$(dpkg-deb -f "$deb" Version)
   if [[ "$version" != "$LEAF_VERSION_PREFIX"* ]]; then
