--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,10 @@
 bench: build
 	@$(BUILD)/bin/ebonypin_bench --seed=$(SEED) --out=$(BUILD)/bench.csv
 
+# Generated fault schedules against the decision core; the last line counts violations.
+faults: build
+	@$(BUILD)/bin/ebonypin_faults --seed=$(SEED) --rounds=$(ROUNDS)
+
 format:
 	@scripts/format.sh
 
@@ -56,6 +60,10 @@
 chaos: build
 	@$(BUILD)/bin/ebonypin_chaos --bin=$(BUILD)/bin --folder=$(BUILD)/chaos --seconds=$(SECONDS) --seed=$(SEED)
 
+# Measures added latency, requests/s and appends/s on loopback, SECONDS seconds each.
+latency: build
+	@scripts/latency.sh $(BUILD) $(SECONDS)
+
 generate:
 	@scripts/generate.sh
 
