Keep -Werror of the build out of clang-tidy; leave out an unknown instance

Change: lint.sh passes -Wno-error to clang-tidy; the instance is printed only when the entry tells it. Conclusion: GCC alone judges compiler warnings, clang-tidy its own checks.

--- a/packages/ctl/src/work_commands.cc
+++ b/packages/ctl/src/work_commands.cc
@@ -48,7 +48,8 @@
   std::string line = fmt::format("job {}: {}", TextOf(job, "job"), TextOf(job, "state"));
   if (const auto outcome = TextOf(job, "outcome"); !outcome.empty()) line += ", " + outcome;
   if (const auto attempt = NumberOf(job, "attempt"); attempt > 0)
-    line += fmt::format(", attempt {} on {}", attempt, TextOf(job, "instance", "?"));
+    line += fmt::format(", attempt {}", attempt);
+  if (const auto instance = TextOf(job, "instance"); !instance.empty()) line += " on " + instance;
   if (IsTrue(job, "cancel_requested") && TextOf(job, "state") != "closed")
     line += ", cancel requested";
   return Printable(line);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,5 +8,8 @@
 if ((${#files[@]} == 0)); then
   mapfile -t files < <(git ls-files 'packages/*.cc' | grep -v '/generated/')
 fi
-printf '%s\n' "${files[@]}" | xargs -r -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet --warnings-as-errors='*' 2>/dev/null
+# The build's -Werror is lifted, because it would turn Clang's own -Wpedantic findings in library macros into
+# errors; GCC already reports the compiler warnings.
+printf '%s\n' "${files[@]}" |
+  xargs -r -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet --warnings-as-errors='*' --extra-arg=-Wno-error 2>/dev/null
 echo "lint: ${#files[@]} files clean"
