Keep the due time of an event across its wait

Cause: AddressSanitizer found that EventThread read the key of a removed entry after Stop, because wait_until takes its time by reference and reads it again after the wait.

--- a/packages/daemon/src/entry/event_thread.cc
+++ b/packages/daemon/src/entry/event_thread.cc
@@ -36,10 +36,11 @@
 }
 
 void EventThread::Stop() {
+  std::multimap<core::Time, std::function<void()>> dropped;
   {
     const std::lock_guard lock(m_mutex);
     m_stopping = true;
-    m_functions.clear();
+    dropped.swap(m_functions);
   }
   m_wake.notify_one();
   if (m_thread.joinable()) m_thread.join();
@@ -51,7 +52,9 @@
     if (m_functions.empty()) {
       m_wake.wait(lock);
     } else if (const auto first = m_functions.begin(); first->first > Now()) {
-      m_wake.wait_until(lock, first->first);
+      // Stop may remove the entry while this waits, and wait_until reads its argument afterwards.
+      const auto due = first->first;
+      m_wake.wait_until(lock, due);
     } else {
       const auto function = std::move(first->second);
       m_functions.erase(first);
