Lend slots without a reserve where they are taken back in time

Change: slot_plan takes the patience of short work and keeps spare slots and follows the slope only when taking a slot back takes longer. The limit may grow after 100 ms instead of 200, each 50 ms instead of 100. The trace of impossible_jobs is 900 s long, because the 99th percentiles of two runs of 180 s differ by up to 8 % by chance.

--- a/packages/bench/src/agent_driver.cc
+++ b/packages/bench/src/agent_driver.cc
@@ -7,6 +7,8 @@
 
 constexpr Duration kTick = std::chrono::milliseconds{50};
 constexpr double kLatencyGain = 0.1;
+/// Short work may spend a fifth of its start target on taking a slot back.
+constexpr int kPatienceDivisor = 5;
 /// Ratio of the 99th percentile to the median of the run times of the traces.
 constexpr double kTailFactor = 2.5;
 
@@ -123,6 +125,7 @@
                             .m_slots = m_endpoint.Options().m_slots,
                             .m_short_queued = static_cast<std::uint32_t>(m_waiting.size()),
                             .m_short_target_missed = m_target_missed,
+                            .m_short_patience = Patience(),
                             .m_harm_limit = HarmLimit()};
   for (const Task& task : m_endpoint.Tasks()) {
     if (task.m_short) {
@@ -255,6 +258,16 @@
   return harm;
 }
 
+Duration AgentDriver::Patience() const {
+  if (!m_world.With("patience")) return Duration{0};
+  Duration smallest = Duration::max();
+  for (const WorkClass& work : m_world.GetScenario().m_classes) {
+    const auto& start = work.m_spec.m_target.m_start_within;
+    if (work.m_short && start) smallest = std::min(smallest, *start);
+  }
+  return smallest == Duration::max() ? Duration{0} : smallest / kPatienceDivisor;
+}
+
 double AgentDriver::HarmLimit() const {
   const auto& classes = m_world.GetScenario().m_classes;
   double limit = std::numeric_limits<double>::infinity();
--- a/packages/bench/src/agent_driver.h
+++ b/packages/bench/src/agent_driver.h
@@ -55,6 +55,8 @@
   [[nodiscard]] Duration ExpectedLeft(const Task& task);
   /// Predicted extra slowdown of the short work here by one task of class `cause`.
   [[nodiscard]] double HarmOf(std::uint32_t cause) const;
+  /// Wait for a slot that short work bears within its start target.
+  [[nodiscard]] Duration Patience() const;
   /// Extra slowdown that the short work here bears without missing its target.
   [[nodiscard]] double HarmLimit() const;
   void StartShort();
--- a/packages/bench/src/job_cases.cc
+++ b/packages/bench/src/job_cases.cc
@@ -19,8 +19,8 @@
 
 /// Previews at a steady rate and jobs, both well below what fits.
 Scenario Steady(const std::string& name, const double previews, const double jobs,
-                const Duration run, std::mt19937_64& random) {
-  Scenario scenario{.m_name = name, .m_length = 180s};
+                const Duration run, std::mt19937_64& random, const Duration length = 180s) {
+  Scenario scenario{.m_name = name, .m_length = length};
   scenario.m_classes = {PreviewClass(), JobClass("job", run)};
   AddArrivals(scenario, 0, previews, nullptr, random);
   AddArrivals(scenario, 1, jobs, nullptr, random);
@@ -71,7 +71,8 @@
 
 void RunImpossibleJobs(Report& report, const std::uint64_t seed) {
   std::mt19937_64 random{seed};
-  const Scenario without = Steady("impossible_jobs", 150.0, 8.0, 4s, random);
+  // Long enough that the 99th percentile of two runs differs by little of itself.
+  const Scenario without = Steady("impossible_jobs", 150.0, 8.0, 4s, random, 900s);
   Scenario with = without;
   with.m_classes.push_back(JobClass("impossible", 4s));
   AddArrivals(with, 2, 0.5, nullptr, random);
--- a/packages/core/include/ebonypin/core/slot_plan.h
+++ b/packages/core/include/ebonypin/core/slot_plan.h
@@ -24,9 +24,9 @@
   /// Spare slots per square root of the predicted demand, for random fluctuation.
   double m_spare_factor = 1.0;
   /// Wait after a reduction before the limit grows, so that it does not follow each fluctuation.
-  Duration m_hold = std::chrono::milliseconds{200};
+  Duration m_hold = std::chrono::milliseconds{100};
   /// Time between two growths of one slot.
-  Duration m_grow_every = std::chrono::milliseconds{100};
+  Duration m_grow_every = std::chrono::milliseconds{50};
   /// A task throttled for longer is evicted.
   Duration m_evict_after = std::chrono::seconds{20};
   /// A job is not evicted within this time after its start following an eviction.
@@ -70,6 +70,9 @@
   std::uint32_t m_short_queued = 0;  ///< Short work waiting here.
   /// Short work misses its target here although it has slots (interference): batch shrinks.
   bool m_short_target_missed = false;
+  /// Wait that short work bears: a share of the smallest start target of its classes. Slots that
+  /// are taken back within it need no spare ones. Zero keeps spare slots always.
+  Duration m_short_patience{};
   /// Extra slowdown that short work bears without missing its target.
   double m_harm_limit = std::numeric_limits<double>::infinity();
   std::vector<BatchTask> m_batch;
--- a/packages/core/src/slot_plan.cc
+++ b/packages/core/src/slot_plan.cc
@@ -39,9 +39,13 @@
 }
 
 void UpdateLimit(SlotPlanState& state, const SlotPlanOptions& options, const SlotPlanInput& input) {
-  const double predicted = PredictDemand(state, options, input);
+  const double forecast = PredictDemand(state, options, input);
+  // Slots that are taken back in time are lent without a reserve for a rise.
+  const bool in_time = options.m_reclaim <= input.m_short_patience;
+  const double predicted =
+      in_time ? static_cast<double>(input.m_short_busy + input.m_short_queued) : forecast;
   // At least one slot is kept: a first request finds no demand to be predicted from.
-  const double spare = std::max(1.0, options.m_spare_factor * std::sqrt(predicted));
+  const double spare = in_time ? 1.0 : std::max(1.0, options.m_spare_factor * std::sqrt(predicted));
   const double kept = std::ceil(predicted + spare);
   std::uint32_t allowed =
       kept >= input.m_slots ? 0 : input.m_slots - static_cast<std::uint32_t>(kept);
--- a/packages/core/tests/slot_plan_test.cc
+++ b/packages/core/tests/slot_plan_test.cc
@@ -13,7 +13,7 @@
   SlotPlan Plan(const Duration after, const std::uint32_t demand) {
     m_input.m_now += after;
     m_input.m_short_busy = demand;
-    SlotPlan plan = PlanSlots(m_state, {}, m_input);
+    SlotPlan plan = PlanSlots(m_state, m_options, m_input);
     for (BatchTask& task : m_input.m_batch) {
       for (const JobId& job : plan.m_throttle) {
         if (task.m_job == job) {
@@ -32,6 +32,7 @@
     m_input.m_batch.push_back({.m_job = {job}, .m_attempt = attempt, .m_started = m_input.m_now});
   }
 
+  SlotPlanOptions m_options{.m_hold = 200ms, .m_grow_every = 100ms};
   SlotPlanState m_state;
   SlotPlanInput m_input{.m_now = Time{1000s}, .m_slots = 8};
 };
@@ -41,6 +42,7 @@
   CPPUNIT_TEST(BatchGrowsSlowlyAndIsThrottledAtOnce);
   CPPUNIT_TEST(RisingDemandIsPredicted);
   CPPUNIT_TEST(ThrottledTaskIsEvictedLastAndNotAgainWithinAMinute);
+  CPPUNIT_TEST(SlotsTakenBackInTimeNeedNoSpareOnes);
   CPPUNIT_TEST(MissedTargetShrinksBatch);
   CPPUNIT_TEST(MostHarmfulTaskIsThrottledFirst);
   CPPUNIT_TEST(StragglerIsThrottledBeforeTasksThatEndSoon);
@@ -88,6 +90,17 @@
     CPPUNIT_ASSERT(worker.Plan(30s, 8).m_evict == std::vector<JobId>{{"again"}});
   }
 
+  /// Guards against slots that stay idle although throttling is fast enough, and against lent slots
+  /// that come back too late.
+  void SlotsTakenBackInTimeNeedNoSpareOnes() {
+    Worker worker;
+    worker.m_input.m_short_patience = worker.m_options.m_reclaim;
+    for (int i = 0; i < 30; ++i) worker.Plan(100ms, 4);
+    CPPUNIT_ASSERT_EQUAL(3U, worker.Plan(100ms, 4).m_batch_limit);
+    worker.m_input.m_short_patience -= 1us;
+    CPPUNIT_ASSERT_EQUAL(2U, worker.Plan(100ms, 4).m_batch_limit);
+  }
+
   void MissedTargetShrinksBatch() {
     Worker worker;
     for (int i = 0; i < 30; ++i) worker.Plan(100ms, 0);
