Place jobs without the distance price

Cause: an entry places its first jobs all in its own failure domain, so that they are lost together. Change: the price of another domain counts for requests only. Of 12 jobs placed by one entry none left its domain before; now no domain holds more than 6.

--- a/packages/core/src/placement.cc
+++ b/packages/core/src/placement.cc
@@ -52,14 +52,16 @@
 
 /// Cost of adding the work to the agent, in microseconds: requests in flight weighted with the
 /// agent's latency, and the price of the distance.
-double CostOf(const AgentView& agent, const PlacementOptions& options, const bool scarce) {
+double CostOf(const AgentView& agent, const PlacementOptions& options, const bool job,
+              const bool scarce) {
   const double slots = std::max<double>(1.0, agent.m_slots);
   const double latency =
       agent.m_load.m_latency_us > 0 ? agent.m_load.m_latency_us : kDefaultLatencyUs;
   const double ahead = Outstanding(agent);
   double cost = latency * ahead / slots;
   if (ahead >= slots) cost += latency * (ahead - slots + 1.0) / slots;
-  if (agent.m_domain != options.m_own_domain) {
+  // A job runs for much longer than its way takes: without the price jobs spread over the domains.
+  if (!job && agent.m_domain != options.m_own_domain) {
     cost += static_cast<double>(options.m_domain_price.count());
   }
   if (scarce) cost += static_cast<double>(options.m_scarce_price.count());
@@ -81,7 +83,7 @@
   const bool has_room = Fits(search.m_need.m_size, FreeCapacity(agent)) &&
                         Outstanding(agent) + search.m_options.m_keep_slots < agent.m_slots;
   if (search.m_need.m_job && !has_room) return;
-  const double cost = CostOf(agent, search.m_options, scarce);
+  const double cost = CostOf(agent, search.m_options, search.m_need.m_job, scarce);
   if (cost < search.m_best.m_cost) search.m_best = {.m_index = index, .m_cost = cost};
 }
 
--- a/packages/core/tests/placement_test.cc
+++ b/packages/core/tests/placement_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(SmallWorkLeavesScarceWorkersAlone);
   CPPUNIT_TEST(DistanceIsAPriceAndNotARule);
+  CPPUNIT_TEST(JobsSpreadOverDomains);
   CPPUNIT_TEST(StaleReportsDoNotDrawAllWorkToOneAgent);
   CPPUNIT_TEST(NeverFitsNamesTheMissingResource);
   CPPUNIT_TEST(AgreesWithAScanOfAllAgents);
@@ -63,6 +64,23 @@
     CPPUNIT_ASSERT_EQUAL(far, PlaceWork(fleet, options, {}, random).m_agent.value());
   }
 
+  /// Guards against losing most jobs of an entry with one failure domain.
+  void JobsSpreadOverDomains() {
+    FleetView fleet;
+    for (int i = 0; i < 9; ++i) {
+      Add(fleet, "a" + std::to_string(i), "d" + std::to_string(i % 3), kPlain);
+    }
+    std::mt19937_64 random{3};
+    std::map<std::string, int> jobs;
+    for (int i = 0; i < 12; ++i) {
+      const auto placement = PlaceWork(fleet, {.m_own_domain = {"d0"}}, {.m_job = true}, random);
+      CountSent(fleet, placement.m_agent.value(), {});
+      ++jobs[fleet.m_agents[*placement.m_agent].m_domain.m_value];
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, jobs.size());
+    for (const auto& [domain, count] : jobs) CPPUNIT_ASSERT(count <= 6);
+  }
+
   /// Guards against herding: several requests between two reports spread over the agents.
   void StaleReportsDoNotDrawAllWorkToOneAgent() {
     FleetView fleet;
