Count small work placed on scarce workers in the fleet case

Cause: the benchmark does not show what keeping accelerators and large memory free buys. Change: the fleet case prints the share of decisions that used such workers.

--- a/packages/bench/src/fleet_case.cc
+++ b/packages/bench/src/fleet_case.cc
@@ -32,9 +32,14 @@
           .m_load = {.m_committed = {.m_cpu_millis = 4000}, .m_slots_busy = 12}};
 }
 
+bool IsScarce(const core::AgentView& agent) {
+  return agent.m_capacity.m_accelerators > 0 || agent.m_capacity.m_memory_mb > 60000;
+}
+
 struct Cost {
   double m_micros = 0.0;     ///< Real time per decision.
   double m_decisions = 0.0;  ///< Decisions that placed work.
+  double m_scarce = 0.0;     ///< Those that used accelerators or large memory for small work.
 };
 
 /// Real time per decision: half of the starts are requests, half are jobs.
@@ -57,6 +62,7 @@
   const core::Resources size{.m_cpu_millis = 500, .m_memory_mb = 500};
   std::vector<double> micros;
   double decisions = 0.0;
+  double scarce = 0.0;
   std::uint64_t number = 0;
   for (std::uint32_t second = 0; second < kSeconds; ++second) {
     std::uint64_t decided = 0;
@@ -74,6 +80,7 @@
         const auto* const run = std::get_if<core::SendRun>(&actions.front());
         if (run == nullptr) continue;
         ++decided;
+        scarce += IsScarce(*core::FindAgent(fleet, run->m_agent)) ? 1.0 : 0.0;
         (void)core::OnRunReply(dispatch, context, run->m_agent,
                                {.m_request = run->m_run.m_request,
                                 .m_try = run->m_run.m_try,
@@ -93,6 +100,7 @@
         });
         if (!next) continue;
         ++decided;
+        scarce += IsScarce(fleet.m_agents[*placement.m_agent]) ? 1.0 : 0.0;
         core::CountSent(fleet, *placement.m_agent, next->m_size);
       }
       core::ReturnQuota(quotas, team, size);
@@ -106,7 +114,7 @@
     }
   }
   // The median leaves out seconds disturbed by other processes of the machine.
-  return {.m_micros = Percentile(micros, 50.0), .m_decisions = decisions};
+  return {.m_micros = Percentile(micros, 50.0), .m_decisions = decisions, .m_scarce = scarce};
 }
 
 }  // namespace
@@ -119,6 +127,8 @@
   Add(report, scenario, "workers_690", "decisions", "count", small.m_decisions);
   Add(report, scenario, "ebonypin", "decision_us", "us", large.m_micros);
   Add(report, scenario, "ebonypin", "decisions", "count", large.m_decisions);
+  Add(report, scenario, "ebonypin", "scarce_share", "%",
+      100.0 * large.m_scarce / large.m_decisions);
   AddAtMost(report, scenario.m_name, "decision_us < 50 us", large.m_micros, 50.0);
   AddAtMost(report, scenario.m_name, "decision_us <= 2 x at 690 workers", large.m_micros,
             2.0 * small.m_micros);
