Lend slots more slowly where they come back slowly

Cause: with throttling in 200 ms, hol_p99 in krakow_crest exceeds its bound since the limit may grow after 100 ms. Change: the hold after a reduction is at least the time to take a slot back, and two growths are half of it apart. Nothing changes at 5 ms.

--- a/packages/core/src/slot_plan.cc
+++ b/packages/core/src/slot_plan.cc
@@ -50,11 +50,14 @@
   std::uint32_t allowed =
       kept >= input.m_slots ? 0 : input.m_slots - static_cast<std::uint32_t>(kept);
   if (input.m_short_target_missed) allowed = std::min(allowed, state.m_limit / 2);
+  // The slower slots come back, the slower they are lent.
+  const Duration hold = std::max(options.m_hold, options.m_reclaim);
+  const Duration grow_every = std::max(options.m_grow_every, options.m_reclaim / 2);
   if (allowed < state.m_limit) {
     state.m_limit = allowed;
     state.m_reduced_at = input.m_now;
-  } else if (allowed > state.m_limit && input.m_now - state.m_reduced_at >= options.m_hold &&
-             input.m_now - state.m_grown_at >= options.m_grow_every) {
+  } else if (allowed > state.m_limit && input.m_now - state.m_reduced_at >= hold &&
+             input.m_now - state.m_grown_at >= grow_every) {
     ++state.m_limit;
     state.m_grown_at = input.m_now;
   }
--- a/packages/core/tests/slot_plan_test.cc
+++ b/packages/core/tests/slot_plan_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(RisingDemandIsPredicted);
   CPPUNIT_TEST(ThrottledTaskIsEvictedLastAndNotAgainWithinAMinute);
   CPPUNIT_TEST(SlotsTakenBackInTimeNeedNoSpareOnes);
+  CPPUNIT_TEST(SlotsThatComeBackSlowlyAreLentSlowly);
   CPPUNIT_TEST(MissedTargetShrinksBatch);
   CPPUNIT_TEST(MostHarmfulTaskIsThrottledFirst);
   CPPUNIT_TEST(StragglerIsThrottledBeforeTasksThatEndSoon);
@@ -101,6 +102,17 @@
     CPPUNIT_ASSERT_EQUAL(2U, worker.Plan(100ms, 4).m_batch_limit);
   }
 
+  void SlotsThatComeBackSlowlyAreLentSlowly() {
+    Worker worker;
+    worker.m_options.m_reclaim = 1s;
+    worker.Plan(10ms, 0);
+    worker.Plan(10ms, 8);
+    CPPUNIT_ASSERT_EQUAL(0U, worker.Plan(990ms, 0).m_batch_limit);
+    CPPUNIT_ASSERT_EQUAL(1U, worker.Plan(10ms, 0).m_batch_limit);
+    CPPUNIT_ASSERT_EQUAL(1U, worker.Plan(490ms, 0).m_batch_limit);
+    CPPUNIT_ASSERT_EQUAL(2U, worker.Plan(10ms, 0).m_batch_limit);
+  }
+
   void MissedTargetShrinksBatch() {
     Worker worker;
     for (int i = 0; i < 30; ++i) worker.Plan(100ms, 0);
