--- a/packages/bench/src/ebonypin.cc
+++ b/packages/bench/src/ebonypin.cc
@@ -233,6 +233,8 @@
       core::RecordNotRun(m_ejection, m_fleet, AgentName(worker));
       job.m_worker.reset();
       if (!job.m_closed) Enqueue(item);
+      // Another agent may have room now; this one is left out for a while.
+      PumpJobs();
       return;
     }
     if (job.m_closed) {
