Keep epochs, classes and late records right when the log is truncated

Each has a test. The test StartIsNotRepeatedAfterTheWorkerRestarted asked for the list at the same instant as the start, which is the ambiguous case; it now asks later, with the same assertions, and the ambiguous case has its own test. OffsetBefore no longer drops samples that a larger age needs.

--- a/packages/core/include/ebonypin/core/agent_state.h
+++ b/packages/core/include/ebonypin/core/agent_state.h
@@ -96,6 +96,7 @@
   bool m_cancelled = false;
   bool m_void =
       false;  ///< Its result counts no more: stopped even where no checkpoint is possible.
+  bool m_may_have_run = false;       ///< Confirmed once, or sent around a restart of the worker.
   bool m_cannot_checkpoint = false;  ///< The worker refused a checkpoint; the task runs on.
 };
 
--- a/packages/core/include/ebonypin/core/config_table.h
+++ b/packages/core/include/ebonypin/core/config_table.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -55,6 +56,7 @@
   ConfigView m_folded;          ///< From the log.
   ConfigView m_taught;          ///< From a peer; in force while its offset is larger.
   std::map<ClassName, std::uint64_t> m_last_revision;  ///< Also of removed classes.
+  std::set<AgentId> m_drain_mentions;                  ///< Of a partial fold.
   std::deque<AuditEntry> m_audit;
   std::unordered_set<std::uint64_t> m_change_ids;  ///< Hashes.
   std::deque<std::uint64_t> m_change_order;
--- a/packages/core/include/ebonypin/core/job_owner.h
+++ b/packages/core/include/ebonypin/core/job_owner.h
@@ -174,6 +174,9 @@
 struct TickInput {
   ShardPlan m_plan;                ///< From PlanShards.
   LogOffset m_rewrite_before = 0;  ///< Records before this offset are rewritten; see OffsetBefore.
+  /// Records of shards of others are rewritten before this offset, which must be smaller: their
+  /// owner may have started too late to know them.
+  LogOffset m_rewrite_late_before = 0;
 };
 
 [[nodiscard]] JobOwner MakeJobOwner(JobOwnerOptions options);
--- a/packages/core/include/ebonypin/core/job_table.h
+++ b/packages/core/include/ebonypin/core/job_table.h
@@ -106,10 +106,11 @@
 
 struct JobTable {
   /// Set before the first Apply when the fold does not begin at the stream's first record. Records
-  /// of truncated jobs are then expected, and the first epoch seen of a shard is taken as its
+  /// of truncated jobs are then expected, and the largest epoch seen of a shard is taken as its
   /// current one.
   bool m_partial = false;
-  LogOffset m_offset = 0;  ///< Last batch applied.
+  LogOffset m_first_offset = 0;  ///< First batch applied.
+  LogOffset m_offset = 0;        ///< Last batch applied.
   std::array<ShardState, kShardCount> m_shards;
   std::unordered_map<std::string, JobId> m_keys;
   std::unordered_map<JobId, LogOffset> m_unknown_mentions;  ///< Of truncated jobs; partial only.
--- a/packages/core/include/ebonypin/core/offset_clock.h
+++ b/packages/core/include/ebonypin/core/offset_clock.h
@@ -23,8 +23,8 @@
 /// Notes that the log was read up to `offset`.
 void NoteOffset(OffsetClock& clock, LogOffset offset, Time now);
 
-/// Returns the first offset that is not known to be older than `age`, and drops older samples.
-/// Records before it are to be rewritten. Example: `OffsetBefore(clock, retention / 2, now)`.
-[[nodiscard]] LogOffset OffsetBefore(OffsetClock& clock, Duration age, Time now);
+/// Returns the first offset that is not known to be older than `age`. Records before it are to be
+/// rewritten. Example: `OffsetBefore(clock, retention / 2, now)`.
+[[nodiscard]] LogOffset OffsetBefore(const OffsetClock& clock, Duration age, Time now);
 
 }  // namespace ebonypin::core
--- a/packages/core/src/agent_ledger_tasks.cc
+++ b/packages/core/src/agent_ledger_tasks.cc
@@ -91,7 +91,8 @@
                         .m_started = now,
                         .m_last_sent = now,
                         .m_last_renewed = now,
-                        .m_grant_until = now};
+                        .m_grant_until = now,
+                        .m_may_have_run = true};
   // The grant that the earlier agent held is not known.
   if (spec.m_exclusive) {
     attempt.m_suspended = now;
@@ -233,12 +234,20 @@
     }
   }
   std::vector<TaskId> missing;
-  for (const auto& [id, attempt] : ledger.m_attempts) {
+  for (auto& [id, attempt] : ledger.m_attempts) {
     if (listed.contains(id)) continue;
     const bool confirmed = attempt.m_state != AttemptState::kStarting;
+    const bool before = attempt.m_started < list.m_asked;
     // A start that was sent to the worker before its restart may have taken effect there, so it is
     // not repeated.
-    if (list.m_restarted || (confirmed && attempt.m_started < list.m_asked)) missing.push_back(id);
+    if (before && (list.m_restarted || confirmed)) {
+      missing.push_back(id);
+    } else if (list.m_restarted) {
+      // The start may have reached the worker before or after its restart. The worker is told to
+      // stop the task, or to refuse it when it does not know it.
+      attempt.m_may_have_run = attempt.m_void = true;
+      BeginStop(attempt, now, out);
+    }
   }
   for (const auto& id : missing) handle({.m_kind = TaskEventKind::kLost, .m_task = id});
   agent::SyncShares(ledger, now, out);
@@ -257,6 +266,7 @@
     case TaskEventKind::kStarted:
       if (attempt.m_state != AttemptState::kStarting) break;
       attempt.m_state = AttemptState::kRunning;
+      attempt.m_may_have_run = true;
       attempt.m_started = now;
       attempt.m_payload.clear();
       attempt.m_checkpoint.clear();
@@ -271,7 +281,14 @@
     case TaskEventKind::kStartRefused:
       // A late refusal of a repeated start says nothing about a task that runs.
       if (attempt.m_state == AttemptState::kRunning) break;
-      EndAttempt(ledger, event.m_task, ReportOfEnd(ledger, event, attempt.m_cancelled), now, out);
+      // A worker that restarted does not know that the task ran.
+      EndAttempt(ledger, event.m_task,
+                 ReportOfEnd(ledger,
+                             attempt.m_may_have_run
+                                 ? TaskEvent{.m_kind = TaskEventKind::kLost, .m_task = event.m_task}
+                                 : event,
+                             attempt.m_cancelled),
+                 now, out);
       break;
     case TaskEventKind::kStopped:
     case TaskEventKind::kEnded:
--- a/packages/core/src/config_table.cc
+++ b/packages/core/src/config_table.cc
@@ -100,6 +100,7 @@
     entry.m_outcome = ChangeOutcome::kRepeated;
     return;
   }
+  if (table.m_partial) table.m_drain_mentions.insert(record.m_agent);
   if (record.m_draining) {
     table.m_folded.m_drained.insert_or_assign(record.m_agent, offset);
   } else {
@@ -108,6 +109,17 @@
   table.m_folded.m_offset = offset;
 }
 
+/// Completes a partial fold with what a peer taught about the truncated part of the log. The taught
+/// configuration holds everything up to its offset, so it is right about what the fold never saw.
+void Complete(ConfigTable& table) {
+  for (const auto& [name, spec] : table.m_taught.m_classes) {
+    if (!table.m_last_revision.emplace(name, spec.m_revision).second) continue;
+    table.m_folded.m_classes.emplace(name, spec);
+  }
+  for (const auto& [agent, offset] : table.m_taught.m_drained)
+    if (!table.m_drain_mentions.contains(agent)) table.m_folded.m_drained.emplace(agent, offset);
+}
+
 template <typename T>
 concept ConfigRecord = requires(ConfigTable& table, const T& record, AuditEntry& entry) {
   ApplyRecord(table, LogOffset{}, record, entry);
@@ -118,6 +130,8 @@
 void Apply(ConfigTable& table, const LogOffset offset, const LogBatch& batch,
            std::vector<AuditEntry>& changes) {
   if (offset <= table.m_read_offset) return;
+  const LogOffset taught = table.m_taught.m_offset;
+  if (table.m_partial && table.m_read_offset <= taught && offset > taught) Complete(table);
   table.m_read_offset = offset;
   if (!NoteId(table.m_batches, table.m_batch_order, batch.m_batch_id)) return;
   for (const LogRecord& record : batch.m_records) {
--- a/packages/core/src/job_owner_shards.cc
+++ b/packages/core/src/job_owner_shards.cc
@@ -14,6 +14,18 @@
 /// Snapshots of a shard in one turn; bounds the share of the log's append rate.
 constexpr std::size_t kSnapshotsPerTurn = 64;
 
+/// Returns the claim of `shard` by this process.
+ShardClaimed Claim(const JobOwner& owner, const JobTable& table, const ShardIndex shard) {
+  Epoch epoch = table.m_shards[shard].m_epoch + 1;
+  // Every record of the shard was lost to retention. Each claim took an offset of its own, so the
+  // first retained offset is larger than every epoch that agents have seen.
+  if (table.m_partial && epoch == 1) epoch = table.m_first_offset;
+  return {.m_shard = shard,
+          .m_epoch = epoch,
+          .m_entry = owner.m_options.m_entry,
+          .m_incarnation = owner.m_options.m_incarnation};
+}
+
 }  // namespace
 
 TaskReportReply NotOwner(const JobTable& table, const ShardIndex shard) {
@@ -49,11 +61,7 @@
   for (const ShardIndex shard : plan.m_claim) {
     if (owner.m_claim_due[shard] > now) continue;
     owner.m_claim_due[shard] = now + owner.m_options.m_read_back;
-    turn.m_actions.emplace_back(
-        AppendRecord{ShardClaimed{.m_shard = shard,
-                                  .m_epoch = table.m_shards[shard].m_epoch + 1,
-                                  .m_entry = owner.m_options.m_entry,
-                                  .m_incarnation = owner.m_options.m_incarnation}});
+    turn.m_actions.emplace_back(AppendRecord{Claim(owner, table, shard)});
   }
   for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
     const bool leave =
@@ -73,21 +81,20 @@
   }
 }
 
-void RewriteOld(Turn& turn, const LogOffset before) {
+void RewriteOld(Turn& turn, const TickInput& input) {
   JobOwner& owner = turn.m_owner;
   const JobTable& table = turn.m_context.m_table;
   for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
-    if (owner.m_epochs[shard] == 0 || owner.m_releasing[shard] ||
-        owner.m_rewrite_due[shard] > turn.m_context.m_now)
-      continue;
+    if (owner.m_releasing[shard] || owner.m_rewrite_due[shard] > turn.m_context.m_now) continue;
+    const bool owned = owner.m_epochs[shard] != 0;
+    const LogOffset before = owned ? input.m_rewrite_before : input.m_rewrite_late_before;
     owner.m_rewrite_due[shard] = turn.m_context.m_now + kRewriteInterval;
-    // The claim comes first, so that a newcomer knows the epoch by which records are judged.
-    if (table.m_shards[shard].m_claimed_offset < before) {
-      turn.m_actions.emplace_back(
-          AppendRecord{ShardClaimed{.m_shard = shard,
-                                    .m_epoch = owner.m_epochs[shard] + 1,
-                                    .m_entry = owner.m_options.m_entry,
-                                    .m_incarnation = owner.m_options.m_incarnation}});
+    // The claim comes first, so that a newcomer knows the epoch by which records are judged. An
+    // owner that does not renew its claim in time has lost the log, so another entry takes the
+    // shard.
+    const ShardState& state = table.m_shards[shard];
+    if (state.m_claimed_offset < before && state.m_epoch > 0) {
+      turn.m_actions.emplace_back(AppendRecord{Claim(owner, table, shard)});
       continue;
     }
     for (JobSnapshot& snapshot : SnapshotsBefore(table, shard, before, kSnapshotsPerTurn))
--- a/packages/core/src/job_owner_steps.h
+++ b/packages/core/src/job_owner_steps.h
@@ -55,6 +55,9 @@
 /// Answers all held reports of the job.
 void AnswerReports(Turn& turn, OwnedJob& job, const TaskReportReply& reply);
 
+/// Answers reports that waited long enough, or whose job a later read of the log did not bring.
+void AnswerWaitingReports(Turn& turn);
+
 /// Takes a job of a shard that was just claimed, or that was just accepted.
 void TakeJob(Turn& turn, const JobState& state, bool adopted);
 void DropJob(Turn& turn, const JobId& id, const TaskReportReply& reply);
@@ -66,6 +69,6 @@
 /// Appends the claims and releases that are due.
 void FollowPlan(Turn& turn, const ShardPlan& plan);
 /// Rewrites records of owned shards before the log's retention removes them.
-void RewriteOld(Turn& turn, LogOffset before);
+void RewriteOld(Turn& turn, const TickInput& input);
 
 }  // namespace ebonypin::core::owner
--- a/packages/core/src/job_table.cc
+++ b/packages/core/src/job_table.cc
@@ -78,11 +78,11 @@
   }
 }
 
-/// Returns whether a record of `epoch` is valid in `shard`. A partial table learns the epoch from
-/// it.
+/// Returns whether a record of `epoch` is valid in `shard`. A partial table learns from it that a
+/// claim was truncated: no entry uses an epoch before it has read its claim back.
 bool EpochValid(const JobTable& table, ShardState& shard, const Epoch epoch,
                 const EntryId& writer) {
-  if (table.m_partial && epoch > shard.m_epoch && shard.m_claimed_offset == 0) {
+  if (table.m_partial && epoch > shard.m_epoch) {
     shard.m_epoch = epoch;
     shard.m_owner = writer;
     return true;
@@ -253,9 +253,9 @@
   }
   event.m_shard = record.m_shard;
   ShardState& shard = fold.m_table.m_shards[record.m_shard];
-  const bool first_seen =
-      fold.m_table.m_partial && shard.m_claimed_offset == 0 && record.m_epoch > shard.m_epoch;
-  if (record.m_epoch != shard.m_epoch + 1 && !first_seen) {
+  // A late claim, void for others, may be the first that a partial table sees.
+  const bool newer = fold.m_table.m_partial && record.m_epoch > shard.m_epoch;
+  if (record.m_epoch != shard.m_epoch + 1 && !newer) {
     event.m_reason = VoidReason::kStaleEpoch;
     return;
   }
@@ -339,7 +339,9 @@
              unknown != table.m_unknown_mentions.end()) {
     mentioned = unknown->second;
   }
-  if (mentioned > record.m_as_of) {
+  // Records between `m_as_of` and the first one read may name the job.
+  const bool unseen = table.m_partial && record.m_as_of + 1 < table.m_first_offset;
+  if (mentioned > record.m_as_of || unseen) {
     event.m_reason = VoidReason::kChangedSince;
   } else if (table.m_partial) {
     Learn(fold, state);
@@ -382,6 +384,7 @@
            std::vector<JobEvent>& events) {
   if (offset <= table.m_offset) return;
   table.m_offset = offset;
+  if (table.m_first_offset == 0) table.m_first_offset = offset;
   const Fold fold{.m_table = table, .m_offset = offset, .m_events = events};
   const bool is_new = NoteBatch(table, offset, batch.m_batch_id);
   for (std::size_t i = 0; i < batch.m_records.size(); ++i) {
--- a/packages/core/tests/agent_jobs_test.cc
+++ b/packages/core/tests/agent_jobs_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(HeldCompletionsLimitNewWork);
   CPPUNIT_TEST(NewAgentAdoptsRunningTasksAndReportsEndedOnes);
   CPPUNIT_TEST(StartIsNotRepeatedAfterTheWorkerRestarted);
+  CPPUNIT_TEST(StartThatCrossesARestartIsStoppedBeforeItIsReported);
+  CPPUNIT_TEST(RefusedStopOfATaskThatRanIsNotNeverStarted);
   CPPUNIT_TEST(UnconfirmedStartAndStopAreRepeated);
   CPPUNIT_TEST(BatchIsThrottledAtOnceAndGrowsSlowly);
   CPPUNIT_TEST_SUITE_END();
@@ -264,6 +266,7 @@
   void StartIsNotRepeatedAfterTheWorkerRestarted() {
     AgentFixture agent;
     (void)agent.Send(AgentFixture::StartOf("j", agent.Reserve("j").m_reservation));
+    agent.m_now += 10ms;  // The list is asked for after the start.
     const auto actions =
         OnTaskList(agent.m_ledger, {.m_asked = agent.m_now, .m_restarted = true}, agent.m_now);
     const auto reports = Only<SendReport>(actions);
@@ -273,6 +276,36 @@
     CPPUNIT_ASSERT(Only<StartTask>(agent.Advance(10s)).empty());
   }
 
+  /// Guards against an exclusive task that runs beside its successor, because a start that crossed
+  /// a restart of the worker was taken for lost. Found by a fault schedule.
+  void StartThatCrossesARestartIsStoppedBeforeItIsReported() {
+    AgentFixture agent;
+    const Time asked = agent.m_now;
+    agent.m_now += 2ms;
+    (void)agent.Send(AgentFixture::StartOf("j", agent.Reserve("j").m_reservation, true));
+    const auto actions =
+        OnTaskList(agent.m_ledger, {.m_asked = asked, .m_restarted = true}, agent.m_now);
+    CPPUNIT_ASSERT(Only<SendReport>(actions).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Only<StopTask>(actions).size());
+    // The worker does not know the task, but the task may have run before the restart.
+    const auto refused = agent.Tell({.m_kind = TaskEventKind::kStartRefused, .m_task = {{"j"}, 1}});
+    const auto reports = Only<SendReport>(refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+    CPPUNIT_ASSERT(reports[0].m_report.m_phase == AttemptPhase::kStopped);
+  }
+
+  /// Guards against "never started" for a task that ran until its worker restarted, which then
+  /// refuses the stop of a task that it does not know.
+  void RefusedStopOfATaskThatRanIsNotNeverStarted() {
+    AgentFixture agent;
+    agent.RunJob("j");
+    (void)agent.Send(FenceRequest{.m_job = {"j"}, .m_attempt = 1, .m_epoch = 1, .m_stop = true});
+    const auto refused = agent.Tell({.m_kind = TaskEventKind::kStartRefused, .m_task = {{"j"}, 1}});
+    const auto reports = Only<SendReport>(refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+    CPPUNIT_ASSERT(reports[0].m_report.m_phase == AttemptPhase::kStopped);
+  }
+
   /// Guards against a task that is never started or stopped because one call to the worker was
   /// lost.
   void UnconfirmedStartAndStopAreRepeated() {
--- a/packages/core/tests/config_table_test.cc
+++ b/packages/core/tests/config_table_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(TaughtConfigurationNeverReverts);
   CPPUNIT_TEST(UndecodableRecordKeepsWhatIsInForce);
   CPPUNIT_TEST(RecreatedClassGetsALargerRevision);
+  CPPUNIT_TEST(TaughtClassesOutliveAPartialFold);
   CPPUNIT_TEST(RewrittenConfigurationSurvivesTruncation);
   CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,18 @@
                    ChangeOutcome::kRevisionConflict);
   }
 
+  /// Guards against an entry that drops taught classes with the first record that it folds itself.
+  /// Found by a fault schedule with an outage longer than half of the log's retention.
+  void TaughtClassesOutliveAPartialFold() {
+    ConfigTable table{.m_partial = true};
+    const ClassSpec other{.m_name = {"render"}, .m_revision = 3};
+    CPPUNIT_ASSERT(Adopt(table, 50, {other, {.m_name = kName, .m_revision = 2}}, {{"w"}}));
+    Write(table, 51, Put(2, "ann", "c1", "new"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, FindClass(table, other.m_name)->m_revision);
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), FindClass(table, kName)->m_team.m_value);
+    CPPUNIT_ASSERT(IsDrained(table, {"w"}));
+  }
+
   /// Guards against classes and drains that retention removes from the log.
   void RewrittenConfigurationSurvivesTruncation() {
     ConfigTable table;
--- a/packages/core/tests/job_owner_test.cc
+++ b/packages/core/tests/job_owner_test.cc
@@ -147,6 +147,8 @@
   CPPUNIT_TEST(ReportIsAcknowledgedWhenItsEndIsReadBack);
   CPPUNIT_TEST(ReportOfAJobNotReadYetIsNotAcknowledged);
   CPPUNIT_TEST(ReleasedShardGetsNoNewAttempts);
+  CPPUNIT_TEST(ShardOfAnOwnerWithoutLogIsTakenBeforeItsClaimIsLost);
+  CPPUNIT_TEST(ClaimBehindTruncatedOnesHasALargerEpoch);
   CPPUNIT_TEST(OldRecordsAreRewrittenBehindARenewedClaim);
   CPPUNIT_TEST_SUITE_END();
 
@@ -380,6 +382,29 @@
     CPPUNIT_ASSERT(scene.m_owner.m_jobs.empty() && scene.m_owner.m_timers.empty());
   }
 
+  /// Guards against a shard whose epoch retention removes, because its owner answers heartbeats but
+  /// does not reach the log. Found by a fault schedule: a newcomer claimed an old epoch again.
+  void ShardOfAnOwnerWithoutLogIsTakenBeforeItsClaimIsLost() {
+    Scene scene;
+    scene.Claim(1, "entry-2");
+    scene.Accept(kJob, "sync");
+    const TickInput late{.m_rewrite_late_before = scene.m_table.m_offset + 1};
+    scene.Perform(OnTick(scene.m_owner, scene.Context(), late));
+    CPPUNIT_ASSERT_EQUAL(Epoch{2}, scene.m_table.m_shards[0].m_epoch);
+    CPPUNIT_ASSERT(OwnsShard(scene.m_owner, scene.m_table, 0));
+  }
+
+  /// Guards against claims that agents refuse forever, after all entries were down for longer than
+  /// the log's retention.
+  void ClaimBehindTruncatedOnesHasALargerEpoch() {
+    Scene scene;
+    scene.m_table.m_partial = true;
+    scene.m_table.m_offset = 99;
+    scene.Accept(kJob, "sync");
+    scene.Perform(OnTick(scene.m_owner, scene.Context(), {.m_plan = {.m_claim = {0}}}));
+    CPPUNIT_ASSERT_EQUAL(Epoch{100}, scene.m_table.m_shards[0].m_epoch);
+  }
+
   /// Guards against open jobs that retention removes from the log.
   void OldRecordsAreRewrittenBehindARenewedClaim() {
     Scene scene;
--- a/packages/core/tests/job_table_test.cc
+++ b/packages/core/tests/job_table_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(CancelledJobNeverStartsAgain);
   CPPUNIT_TEST(SnapshotIsVoidWhenTheJobChangedBehindIt);
   CPPUNIT_TEST(TruncatedLogGivesTheSameOpenJobs);
+  CPPUNIT_TEST(LateRecordsDoNotMisleadATruncatedFold);
   CPPUNIT_TEST(TraceOfAClosedJobExpiresWithItsKey);
   CPPUNIT_TEST_SUITE_END();
 
@@ -222,6 +223,33 @@
     CPPUNIT_ASSERT(holds);
   }
 
+  /// Guards against records that an entry cut off from the log wrote long before they were
+  /// appended. Found by a fault schedule: a job was taken for one that never ran.
+  void LateRecordsDoNotMisleadATruncatedFold() {
+    JobTable late{.m_partial = true};
+    std::vector<JobEvent> events;
+    const auto apply = [&](const LogOffset offset, const LogRecord& record) {
+      Apply(late, offset, {.m_batch_id = std::to_string(offset), .m_records = {record}}, events);
+      return events.back().m_kind;
+    };
+    const ShardIndex shard = ShardOf(kJob);
+    const JobSnapshot old{.m_state = {.m_job = kJob}, .m_as_of = 50};
+    JobSnapshot current = old;
+    current.m_state.m_attempt = 1;
+    current.m_state.m_assigned = true;
+    current.m_as_of = 101;
+    const ShardClaimed stale{.m_shard = shard, .m_epoch = 5, .m_entry = kB};
+    CPPUNIT_ASSERT(apply(100, stale) == JobEventKind::kShardClaimed);
+    CPPUNIT_ASSERT(apply(101, old) == JobEventKind::kVoid);
+    CPPUNIT_ASSERT(apply(102, current) == JobEventKind::kSnapshot);
+    // A record of the true owner corrects the epoch, as does its next claim.
+    CPPUNIT_ASSERT(apply(103, JobRequeued{.m_job = kJob, .m_attempt = 1, .m_epoch = 7}) ==
+                   JobEventKind::kRequeued);
+    const ShardClaimed next{.m_shard = shard, .m_epoch = 9, .m_entry = kA};
+    CPPUNIT_ASSERT(apply(104, next) == JobEventKind::kShardClaimed);
+    CPPUNIT_ASSERT(late.m_shards[shard].m_owner == kA);
+  }
+
   /// Guards against memory that grows with every job ever run.
   void TraceOfAClosedJobExpiresWithItsKey() {
     Log log;
--- a/packages/faults/include/ebonypin/faults/schedule.h
+++ b/packages/faults/include/ebonypin/faults/schedule.h
@@ -24,7 +24,7 @@
   kLogSlow,
   kAnswerLost,   ///< Appends take effect, but their answers are lost.
   kLogCutOff,    ///< One entry does not reach the log.
-  kRetention,    ///< The log keeps only the last 60 s of the run.
+  kRetention,    ///< The log keeps only the last 40 s of the run.
   kDrift,        ///< The clock of one process runs up to 0.5 % off, so two differ by up to 1 %.
   kRace,         ///< Two operators change the same class at the same time.
   kStopEntry,    ///< Planned stop.
--- a/packages/faults/src/sim_entry.cc
+++ b/packages/faults/src/sim_entry.cc
@@ -126,13 +126,12 @@
           [&sim, &entry] { BeatPeers(sim, entry); });
 }
 
-/// Rewrites old config records; the owner of shard 0 does it for all.
+/// Rewrites old config records; the owner of shard 0 first, the others when it did not.
 void RewriteConfig(Sim& sim, SimEntry& entry, const Time now) {
-  if (!entry.m_log->m_retention || now < entry.m_next_rewrite || entry.m_owner.m_epochs[0] == 0)
-    return;
+  if (!entry.m_log->m_retention || now < entry.m_next_rewrite) return;
   entry.m_next_rewrite = now + 3s;
-  const core::LogOffset before =
-      core::OffsetBefore(entry.m_config_clock, *entry.m_log->m_retention / 2, now);
+  const Duration age = *entry.m_log->m_retention / 8 * (entry.m_owner.m_epochs[0] == 0 ? 5 : 4);
+  const core::LogOffset before = core::OffsetBefore(entry.m_config_clock, age, now);
   for (core::LogRecord& record : core::RewritesBefore(entry.m_config, before, 0))
     Add(sim, entry, entry.m_config_appends, std::move(record));
 }
@@ -142,9 +141,11 @@
   core::TickInput input;
   if (entry.m_owner.m_caught_up) {
     input.m_plan = core::PlanShards(entry.m_members, entry.m_jobs, now);
-    if (entry.m_log->m_retention)
-      input.m_rewrite_before =
-          core::OffsetBefore(entry.m_job_clock, *entry.m_log->m_retention / 2, now);
+    if (entry.m_log->m_retention) {
+      const Duration eighth = *entry.m_log->m_retention / 8;
+      input.m_rewrite_late_before = core::OffsetBefore(entry.m_job_clock, eighth * 5, now);
+      input.m_rewrite_before = core::OffsetBefore(entry.m_job_clock, eighth * 4, now);
+    }
   }
   Perform(sim, entry, core::OnTick(entry.m_owner, OwnerContextOf(sim, entry), input));
   Perform(sim, entry, core::OnTick(entry.m_dispatch, DispatchContextOf(sim, entry)));
--- a/packages/faults/src/sim_entry_api.cc
+++ b/packages/faults/src/sim_entry_api.cc
@@ -81,6 +81,7 @@
 void SubmitJob(Sim& sim, SimEntry& entry, const core::WorkRequest& request, TextFunction answer) {
   AfterIn(sim, entry.m_process, Between(sim, 1ms, 5ms),
           [&sim, &entry, request, answer = std::move(answer)] {
+            if (entry.m_members.m_self.m_leaving) return answer("not_run", "draining");
             if (LogIsDown(sim, entry)) return answer("not_run", "log_unavailable");
             if (core::FindClass(entry.m_config, request.m_class) == nullptr)
               return answer("not_run", "unknown_class");
@@ -127,6 +128,7 @@
 void RunRequest(Sim& sim, SimEntry& entry, const core::WorkRequest& request, TextFunction answer) {
   AfterIn(sim, entry.m_process, Between(sim, 1ms, 5ms),
           [&sim, &entry, request, answer = std::move(answer)] {
+            if (entry.m_members.m_self.m_leaving) return answer("not_run", "draining");
             const core::ClassSpec* const spec = core::FindClass(entry.m_config, request.m_class);
             if (spec == nullptr) return answer("not_run", "unknown_class");
             const core::Ticket ticket = ++entry.m_last_ticket;
