Lend slots to batch work by the slot plan

The fixed rule kept a quarter of the slots free of batch work. The ledger now follows the slot plan: batch work may hold all slots but those that requests are expected to need, and gives them back by a throttle to zero, which frees slot and processors once the worker has confirmed it, but not the memory. A resumed task takes a slot and processors only when they are free; a task parked for long is evicted at a checkpoint.

Two faults of adoption came up with it: a task that the former agent had parked was never resumed, and throttles of a new agent were ignored because their versions began again at 1. Adoption now always sends the share, and versions start from the incarnation.

The check of I1 in the fault schedules counted a suspended task as holding a slot and processors, so that it called a lent slot an overcommitment. It now counts memory from begin to end, and slot and processors while a task is active, and checks each resumption as well as each start.

--- a/packages/core/include/ebonypin/core/agent_state.h
+++ b/packages/core/include/ebonypin/core/agent_state.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "ebonypin/core/messages.h"
+#include "ebonypin/core/slot_plan.h"
 #include "ebonypin/core/time.h"
 
 namespace ebonypin::core {
@@ -91,7 +92,9 @@
   std::uint32_t m_share_wanted = 1000;
   std::uint32_t m_share_applied = 1000;   ///< Last share that the worker confirmed.
   std::optional<SentShare> m_share_sent;  ///< Last throttle, while it is not confirmed.
-  std::optional<Time> m_suspended;        ///< Since when the attempt has had no grant.
+
+  std::optional<Time> m_suspended;  ///< Since when the attempt has had no grant.
+  std::optional<Time> m_parked;     ///< Since when short work needs the attempt's slot.
 
   bool m_cancelled = false;
   bool m_void =
@@ -123,6 +126,7 @@
   std::uint64_t m_reservations_expired = 0;
   std::uint64_t m_suspensions = 0;
   std::uint64_t m_throttles = 0;
+  std::uint64_t m_parks = 0;  ///< Batch attempts whose slot was taken back.
   std::uint64_t m_evictions = 0;
   std::uint64_t m_cancelled = 0;
 };
@@ -162,6 +166,9 @@
   std::uint32_t m_batch_share = 1000;  ///< Share that batch attempts may use, in thousandths.
   Time m_batch_share_changed;
   std::uint64_t m_last_version = 0;  ///< Of throttles.
+  SlotPlanState m_slot_plan;
+  std::uint32_t m_admit = 0;  ///< Further batch tasks that the last plan lets start.
+  Time m_planned;             ///< When the slots were planned last.
 
   AgentCounters m_counters;
 };
--- a/packages/core/src/agent_ledger.cc
+++ b/packages/core/src/agent_ledger.cc
@@ -43,12 +43,18 @@
 Resources BatchCommitted(const AgentLedger& ledger) noexcept {
   Resources sum;
   for (const auto& [id, reservation] : ledger.m_reservations) sum = sum + reservation.m_spec.m_size;
-  for (const auto& [id, attempt] : ledger.m_attempts) sum = sum + attempt.m_spec.m_size;
+  for (const auto& [id, attempt] : ledger.m_attempts) {
+    sum = sum + attempt.m_spec.m_size;
+    if (!HoldsSlot(attempt)) sum.m_cpu_millis -= attempt.m_spec.m_size.m_cpu_millis;
+  }
   return sum;
 }
 
 std::uint32_t BatchSlots(const AgentLedger& ledger) noexcept {
-  return static_cast<std::uint32_t>(ledger.m_reservations.size() + ledger.m_attempts.size());
+  const auto holding = std::count_if(ledger.m_attempts.begin(), ledger.m_attempts.end(),
+                                     [](const auto& item) { return HoldsSlot(item.second); });
+  return static_cast<std::uint32_t>(ledger.m_reservations.size()) +
+         static_cast<std::uint32_t>(holding);
 }
 
 Resources RunsCommitted(const AgentLedger& ledger) noexcept {
@@ -58,11 +64,10 @@
   return sum;
 }
 
-std::uint32_t BatchSlotLimit(const AgentLedger& ledger) noexcept {
-  const auto slots = ledger.m_options.m_slots;
-  // A quarter of the slots always stays free of batch work, so that a request never waits for it.
-  // A worker with a single slot could run no job at all under that rule.
-  return slots <= 1 ? slots : slots - std::max<std::uint32_t>(1, slots / 4);
+bool HoldsSlot(const LedgerAttempt& attempt) noexcept {
+  const bool stands_still = attempt.m_share_wanted == 0 && attempt.m_share_applied == 0 &&
+                            !attempt.m_share_sent.has_value();
+  return !attempt.m_parked.has_value() || !stands_still;
 }
 
 }  // namespace agent
@@ -70,6 +75,10 @@
 AgentLedger MakeAgentLedger(AgentOptions options) {
   AgentLedger ledger;
   ledger.m_options = std::move(options);
+  // The worker ignores versions below those of an earlier agent, whose incarnation is smaller.
+  ledger.m_last_version = ledger.m_options.m_incarnation;
+  // No request has been seen, so that batch work may begin with all slots but one.
+  ledger.m_slot_plan.m_limit = std::max(ledger.m_options.m_slots, 1U) - 1;
   return ledger;
 }
 
@@ -124,6 +133,7 @@
   agent::SendDueReports(ledger, now, out);
   agent::StartQueued(ledger, now, out);
   agent::RefuseLate(ledger, now, out);
+  if (agent::NextPlan(ledger) <= now) agent::PlanBatch(ledger, now, out);
   agent::ForgetOld(ledger, now);
   DecayPeak(ledger, now);
   return out;
@@ -146,6 +156,7 @@
     }
   }
   for (const auto& [task, report] : ledger.m_reports) consider(report.m_next_send);
+  consider(agent::NextPlan(ledger));
   return std::max(next, now);
 }
 
--- a/packages/core/src/agent_ledger_internal.h
+++ b/packages/core/src/agent_ledger_internal.h
@@ -18,8 +18,15 @@
 [[nodiscard]] std::uint32_t BatchSlots(const AgentLedger& ledger) noexcept;
 [[nodiscard]] Resources RunsCommitted(const AgentLedger& ledger) noexcept;
 
-/// Returns how many slots batch work may hold; the others are kept for requests.
-[[nodiscard]] std::uint32_t BatchSlotLimit(const AgentLedger& ledger) noexcept;
+/// Returns whether an attempt holds a slot and processors. A parked one does not once the worker
+/// has confirmed that it stands still; it keeps its memory and accelerators.
+[[nodiscard]] bool HoldsSlot(const LedgerAttempt& attempt) noexcept;
+
+// Slots; see slot_plan.h.
+/// Plans how many slots batch work may hold, then parks, resumes and evicts attempts accordingly.
+void PlanBatch(AgentLedger& ledger, Time now, AgentActions& out);
+/// Returns when the slots must be planned again without another event.
+[[nodiscard]] Time NextPlan(const AgentLedger& ledger) noexcept;
 
 // Requests.
 void OnRun(AgentLedger& ledger, CallId call, const RunRequest& request, Time now,
--- a/packages/core/src/agent_ledger_jobs.cc
+++ b/packages/core/src/agent_ledger_jobs.cc
@@ -78,12 +78,12 @@
   };
   if (!Fits(request.m_size, ledger.m_options.m_capacity))
     return no_capacity("the worker is too small for the work; try a larger worker");
-  if (agent::BatchSlots(ledger) >= agent::BatchSlotLimit(ledger) ||
+  if (ledger.m_reservations.size() >= ledger.m_admit ||
       SlotsBusy(ledger) >= ledger.m_options.m_slots)
     return no_capacity("the slots for batch work are taken; try another worker");
   if (!Fits(request.m_size, BatchRoom(ledger)))
     return no_capacity("the capacity for batch work is taken; try another worker");
-  const std::size_t unfinished = agent::BatchSlots(ledger) + 1;
+  const std::size_t unfinished = ledger.m_reservations.size() + ledger.m_attempts.size() + 1;
   if (ledger.m_report_bytes + unfinished * kMaxResultBytes > kMaxReportBytes) {
     return Error{.m_kind = ErrorKind::kLogUnavailable,
                  .m_message = "too many completions wait for the log; try another worker",
@@ -147,6 +147,7 @@
       reply.m_reservation = same->first;
     } else {
       DropReservations(ledger, request.m_job, std::numeric_limits<Attempt>::max());
+      PlanBatch(ledger, now, out);
       if (auto no_room = WhyNoRoom(ledger, request)) {
         reply.m_error = std::move(*no_room);
       } else {
--- a/packages/core/src/agent_ledger_runs.cc
+++ b/packages/core/src/agent_ledger_runs.cc
@@ -44,7 +44,12 @@
     // long again.
     times.push(now + (left > Duration::zero() ? left : elapsed / 2));
   }
-  const auto held = agent::BatchSlots(ledger);
+  auto held = agent::BatchSlots(ledger);
+  for (const auto& [task, attempt] : ledger.m_attempts) {
+    if (!attempt.m_parked || !agent::HoldsSlot(attempt)) continue;
+    times.push(now + SlotPlanOptions{}.m_reclaim);
+    --held;
+  }
   const auto slots = ledger.m_options.m_slots;
   while (times.size() + held < slots) times.push(now);
   return times;
@@ -197,6 +202,7 @@
   ledger.m_calls_of_request.emplace(request.m_request, call);
   StartQueued(ledger, now, out);
   RefuseLate(ledger, now, out);
+  PlanBatch(ledger, now, out);
 }
 
 void StartQueued(AgentLedger& ledger, const Time now, AgentActions& out) {
@@ -296,6 +302,7 @@
   out.emplace_back(ReplyToCall{call, std::move(reply)});
   agent::StartQueued(ledger, now, out);
   agent::RefuseLate(ledger, now, out);
+  agent::PlanBatch(ledger, now, out);
   return out;
 }
 
--- a/packages/core/src/agent_ledger_tasks.cc
+++ b/packages/core/src/agent_ledger_tasks.cc
@@ -96,6 +96,9 @@
   if (spec.m_exclusive) {
     attempt.m_suspended = now;
     attempt.m_share_wanted = 0;
+  } else {
+    // The earlier agent may have left it throttled, so that its share is always sent.
+    attempt.m_share_applied = 0;
   }
   if (const auto lease = agent::LeaseOf(attempt, now); lease > Duration::zero())
     out.emplace_back(RenewTask{.m_task = spec.m_task, .m_lease = lease});
@@ -105,7 +108,7 @@
 }
 
 std::uint32_t WantedShare(const AgentLedger& ledger, const LedgerAttempt& attempt) {
-  return attempt.m_suspended ? 0 : ledger.m_batch_share;
+  return attempt.m_suspended || attempt.m_parked ? 0 : ledger.m_batch_share;
 }
 
 void TakeGrant(AgentLedger& ledger, const Grant& grant, const std::string& from, const Time asked,
@@ -293,6 +296,8 @@
   attempt.m_share_applied = share;
   attempt.m_share_sent.reset();
   agent::SyncShares(ledger, now, out);
+  // A parked attempt has given back its slot.
+  agent::StartQueued(ledger, now, out);
   return out;
 }
 
--- a/packages/faults/src/checker_tasks.cc
+++ b/packages/faults/src/checker_tasks.cc
@@ -28,32 +28,43 @@
 
 }  // namespace
 
+/// A task holds memory from begin to end, and a slot and processors while it is active: the agent
+/// suspends batch tasks to lend their slots to requests. So each resumption is checked too.
 void CheckCapacity(const History& history, Verdict& verdict) {
   std::map<std::string, Held> sizes;
   std::map<std::string, Held> held;
-  std::map<std::string, Event> begun;
+  std::map<std::string, Event> begun;  // Tasks, their activity and requests, by id.
   for (const Event& event : history) {
-    const bool task = event.m_kind == EventKind::kTaskBegin || event.m_kind == EventKind::kTaskEnd;
-    const bool run = event.m_kind == EventKind::kRunBegin || event.m_kind == EventKind::kRunEnd;
     if (event.m_kind == EventKind::kWorkerSize)
       sizes[event.m_place] = {event.m_cpu, event.m_memory, event.m_slots};
-    if (!task && !run) continue;
-    const std::string id = event.m_place + (task ? " t " + event.m_job : " r " + event.m_request) +
+    const bool task = event.m_kind == EventKind::kTaskBegin || event.m_kind == EventKind::kTaskEnd;
+    const bool active =
+        event.m_kind == EventKind::kTaskActive || event.m_kind == EventKind::kTaskInactive;
+    const bool run = event.m_kind == EventKind::kRunBegin || event.m_kind == EventKind::kRunEnd;
+    if (!task && !active && !run) continue;
+    const bool begins = event.m_kind == EventKind::kTaskBegin ||
+                        event.m_kind == EventKind::kTaskActive ||
+                        event.m_kind == EventKind::kRunBegin;
+    const std::string id = event.m_place +
+                           (task     ? " t " + event.m_job
+                            : active ? " a " + event.m_job
+                                     : " r " + event.m_request) +
                            " " + std::to_string(event.m_attempt);
     Held& sum = held[event.m_place];
-    if (event.m_kind == EventKind::kTaskBegin || event.m_kind == EventKind::kRunBegin) {
-      ++verdict.m_operations;
+    const auto add = [&](const Event& what, const std::int64_t sign) {
+      if (!task) sum.m_cpu += sign * what.m_cpu;
+      if (!active) sum.m_memory += sign * what.m_memory;
+      if (!task) sum.m_slots += sign;
+    };
+    if (begins) {
+      if (!active) ++verdict.m_operations;
       begun[id] = event;
-      sum.m_cpu += event.m_cpu;
-      sum.m_memory += event.m_memory;
-      ++sum.m_slots;
+      add(event, 1);
       const Held& size = sizes[event.m_place];
       if (sum.m_cpu > size.m_cpu || sum.m_memory > size.m_memory || sum.m_slots > size.m_slots)
         Report(verdict, "I1", event.m_place + " is committed beyond its size" + At(event));
     } else if (const auto found = begun.find(id); found != begun.end()) {
-      sum.m_cpu -= found->second.m_cpu;
-      sum.m_memory -= found->second.m_memory;
-      --sum.m_slots;
+      add(found->second, -1);
       begun.erase(found);
     }
   }
