--- a/packages/bench/src/load.cc
+++ b/packages/bench/src/load.cc
@@ -82,6 +82,7 @@
   std::atomic<std::uint64_t> taken{0};
   std::vector<LoadResult> results(bounds.m_concurrency);
   std::vector<std::thread> threads;
+  threads.reserve(results.size());
   const auto began = Clock::now();
   for (auto& result : results) {
     threads.emplace_back(
