--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,7 +29,7 @@
   trap - EXIT INT TERM
   for name in "${!pids[@]}"; do kill -9 "${pids[$name]}" 2>/dev/null || true; done
   wait 2>/dev/null || true
-  if ((status != 0)) && [[ -z "${EBONYPIN_DEMO_KEEP:-}" ]]; then
+  if ((status != 0 && status != 130)) && [[ -z "${EBONYPIN_DEMO_KEEP:-}" ]]; then
     for log in "$work"/*.log; do
       grep -H -E '\[(warn|warning|error)\]|^error:' "$log" 2>/dev/null | tail -n 3 | sed "s|$work/||" >&2 || true
     done
