--- a/packages/core/include/ebonypin/core/agent_ledger.h
+++ b/packages/core/include/ebonypin/core/agent_ledger.h
@@ -146,8 +146,10 @@
 /// Returns the load that heartbeats and replies carry.
 [[nodiscard]] AgentLoad LoadOf(const AgentLedger& ledger);
 
-/// Returns the next heartbeat, which names the attempts that need grants.
+/// Returns the next heartbeat, which names the attempts that need grants. With `to`, an address, it
+/// leaves out those of which another entry is known as the owner.
 [[nodiscard]] Heartbeat BuildHeartbeat(const AgentLedger& ledger,
-                                       std::vector<EntryInfo> known_entries);
+                                       std::vector<EntryInfo> known_entries,
+                                       const std::string& to = {});
 
 }  // namespace ebonypin::core
--- a/packages/core/src/agent_ledger.cc
+++ b/packages/core/src/agent_ledger.cc
@@ -186,7 +186,8 @@
           .m_draining = IsDraining(ledger)};
 }
 
-Heartbeat BuildHeartbeat(const AgentLedger& ledger, std::vector<EntryInfo> known_entries) {
+Heartbeat BuildHeartbeat(const AgentLedger& ledger, std::vector<EntryInfo> known_entries,
+                         const std::string& to) {
   const auto& options = ledger.m_options;
   Heartbeat heartbeat{.m_agent = options.m_agent,
                       .m_incarnation = options.m_incarnation,
@@ -199,6 +200,8 @@
                       .m_known_entries = std::move(known_entries)};
   for (const auto& [id, attempt] : ledger.m_attempts) {
     if (!attempt.m_spec.m_exclusive || attempt.m_state == AttemptState::kStopping) continue;
+    const auto& owner = ledger.m_owners[ShardOf(id.m_job)];
+    if (!to.empty() && !owner.empty() && owner != to) continue;
     heartbeat.m_attempts.push_back(
         {.m_job = id.m_job, .m_attempt = id.m_attempt, .m_epoch = attempt.m_spec.m_epoch});
   }
--- a/packages/core/tests/agent_jobs_test.cc
+++ b/packages/core/tests/agent_jobs_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(LeaseEndsWithTheGrantUntilSuspensionIsConfirmed);
   CPPUNIT_TEST(GrantCountsFromWhenItWasAsked);
   CPPUNIT_TEST(AttemptDeniedByANewerOwnerStops);
+  CPPUNIT_TEST(AttemptsAreNamedToTheirOwner);
   CPPUNIT_TEST(FenceTellsWhereTheAttemptStands);
   CPPUNIT_TEST(CompletionIsRepeatedUntilAcknowledged);
   CPPUNIT_TEST(HeldCompletionsLimitNewWork);
@@ -168,6 +169,23 @@
     CPPUNIT_ASSERT(BuildHeartbeat(agent.m_ledger, {}).m_attempts.empty());
   }
 
+  /// Guards against an owner that is not asked for grants, and against control traffic that grows
+  /// with entries that cannot grant.
+  void AttemptsAreNamedToTheirOwner() {
+    AgentFixture agent;
+    agent.RunJob("j", true);
+    const auto named = [&](const std::string& to) {
+      return BuildHeartbeat(agent.m_ledger, {}, to).m_attempts.size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, named("other"));
+    (void)agent.GrantAt("j", agent.m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, named("127.0.0.1:1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, named("other"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, named(""));
+    (void)agent.Ask<FenceReply>(FenceRequest{.m_job = {"j"}, .m_attempt = 0, .m_epoch = 2});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, named("other"));
+  }
+
   /// Guards against an owner that reassigns an attempt which still runs or has ended.
   void FenceTellsWhereTheAttemptStands() {
     AgentFixture agent;
--- a/packages/daemon/src/agent/agent_driver.cc
+++ b/packages/daemon/src/agent/agent_driver.cc
@@ -15,6 +15,14 @@
 constexpr core::Duration kHeartbeatDeadline = 900ms;
 constexpr core::Duration kReportDeadline = 2s;
 
+/// Heartbeats name the home entries when these change and at every such beat, which keeps three
+/// homes below the limit of 8 KB/s of control traffic.
+constexpr std::uint64_t kTellHomesEvery = 10;
+
+/// Attempts are named to the owner that granted them last, and to all homes at every such beat, so
+/// that a new owner hears of them well within a grant of 10 s.
+constexpr std::uint64_t kTellOwnersEvery = 4;
+
 /// A request is given up this long after its caller's time is over; the entry has answered the
 /// caller by then.
 constexpr core::Duration kEndpointGrace = 1s;
@@ -215,21 +223,28 @@
 }
 
 void AgentDriver::SendHeartbeats() {
-  core::Heartbeat heartbeat;
-  std::vector<std::string> targets;
+  std::vector<std::pair<std::string, core::Heartbeat>> heartbeats;
   {
     const std::lock_guard lock(m_mutex);
     if (!m_ledger.m_ready) return;
     NoteEntries(m_book, {}, Now());
-    targets = HeartbeatTargets(m_book);
-    heartbeat = core::BuildHeartbeat(m_ledger, HomesOf(m_book));
+    auto homes = HomesOf(m_book);
+    const bool tell_all = m_beats % kTellOwnersEvery == 0;
+    const bool tell_homes = homes != m_told_homes || m_beats % kTellHomesEvery == 0;
+    ++m_beats;
+    m_told_homes = homes;
+    if (!tell_homes) homes.clear();
+    for (auto& target : HeartbeatTargets(m_book)) {
+      auto heartbeat = core::BuildHeartbeat(m_ledger, homes, tell_all ? std::string{} : target);
+      heartbeats.emplace_back(std::move(target), std::move(heartbeat));
+    }
   }
   const auto asked = Now();
-  for (const auto& target : targets) {
-    m_rpc->Call(target, heartbeat, kHeartbeatDeadline,
-                [this, target, asked](const wire::CallResult& result) {
+  for (auto& [target, heartbeat] : heartbeats) {
+    m_rpc->Call(target, std::move(heartbeat), kHeartbeatDeadline,
+                [this, from = target, asked](const wire::CallResult& result) {
                   if (const auto* const reply = result.Get<core::HeartbeatReply>())
-                    OnHeartbeatReply(target, asked, *reply);
+                    OnHeartbeatReply(from, asked, *reply);
                 });
   }
 }
--- a/packages/daemon/src/agent/agent_driver.h
+++ b/packages/daemon/src/agent/agent_driver.h
@@ -93,6 +93,8 @@
   std::uint64_t m_boot = 0;
   core::Time m_stop_began;
   core::Time m_last_reply;
+  std::vector<core::EntryInfo> m_told_homes;
+  std::uint64_t m_beats = 0;
   bool m_stop_told = false;  ///< An entry has answered a heartbeat that told of the stop.
 
   // Used on the event thread only.
