--- a/packages/core/src/dispatch.cc
+++ b/packages/core/src/dispatch.cc
@@ -381,7 +381,9 @@
 
 DispatchActions OnTick(DispatchState& state, const DispatchContext& context) {
   Step step{.m_state = state, .m_context = context};
-  state.m_next_tick.reset();
+  // An early tick asks for no further one: otherwise each tick that was overtaken by an earlier one
+  // would live on as a second chain of ticks.
+  if (state.m_next_tick && *state.m_next_tick <= context.m_now) state.m_next_tick.reset();
   while (!state.m_wakes.empty() && state.m_wakes.begin()->first <= context.m_now) {
     const Ticket ticket = state.m_wakes.begin()->second;
     DispatchRequest& request = state.m_requests.at(ticket);
--- a/packages/core/src/slot_plan.cc
+++ b/packages/core/src/slot_plan.cc
@@ -33,7 +33,10 @@
   std::erase_if(samples, [&](const DemandSample& sample) {
     return input.m_now - sample.m_at > options.m_slope_span;
   });
-  samples.push_back({.m_at = input.m_now, .m_demand = demand});
+  // At most 100 samples: one for each call made a plan cost thousands of steps in an overload.
+  if (samples.empty() || input.m_now - samples.back().m_at >= options.m_slope_span / 100) {
+    samples.push_back({.m_at = input.m_now, .m_demand = demand});
+  }
   const double slope = Slope(samples, options, input.m_now);
   return demand + std::max(0.0, slope) * static_cast<double>(options.m_reclaim.count());
 }
--- a/packages/core/tests/dispatch_test.cc
+++ b/packages/core/tests/dispatch_test.cc
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(LateReplyOfASupersededTryAnswersIdempotentWork);
   CPPUNIT_TEST(NotRunIsNeverSaidWhileATryMayHaveRun);
   CPPUNIT_TEST(DeadlineIsAnsweredAtOnce);
+  CPPUNIT_TEST(EarlyTicksAskForNoFurtherOnes);
   CPPUNIT_TEST(SlowIdempotentWorkIsHedgedAndTheOtherTryCancelled);
   CPPUNIT_TEST(HedgesStayWithinTheirBudget);
   CPPUNIT_TEST(PredictedLateStartIsRefusedWithoutASend);
@@ -206,6 +207,20 @@
     CPPUNIT_ASSERT_EQUAL(0U, entry.m_fleet.m_agents[0].m_in_flight);
   }
 
+  /// Guards against ticks that multiply until they take all of the entry's time.
+  void EarlyTicksAskForNoFurtherOnes() {
+    Entry entry(2);
+    entry.Send(1, "r", false, 1s);
+    entry.Send(2, "s", false, 100ms);
+    entry.Advance(100ms);
+    for (int i = 0; i < 10; ++i) {
+      entry.m_now += 10ms;
+      CPPUNIT_ASSERT(OnTick(entry.m_state, entry.Context()).empty());
+    }
+    entry.Advance(800ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, entry.m_answers.size());
+  }
+
   void SlowIdempotentWorkIsHedgedAndTheOtherTryCancelled() {
     Entry entry(4);
     for (Ticket ticket = 1; ticket <= 30; ++ticket) {
