Serve callers through a rolling restart of entries

Cause: a leaving entry refused work at once, before any load balancer can know of the stop, and a started entry served callers before its agents had sent a heartbeat; a new entry also answered unknown_class before it knew any class. Change: a leaving entry reports draining and serves for 2 s more, then refuses; an entry opens its HTTP address 1.5 s after its start ([process] ready_after); without any configuration it answers log_unavailable with Retry-After; shards whose owner does not rewrite their records are rewritten by others at 5/8 of retention; results of closed jobs are kept up to 16 MB instead of 64 MB, which was the whole memory limit.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -23,6 +23,7 @@
   std::string m_rpc_address;      ///< "ip:port".
   std::string m_metrics_address;  ///< "ip:port"; empty: no metrics.
   std::string m_log_level = "info";
+  core::Duration m_ready_after = std::chrono::milliseconds{1500};  ///< Entries only.
   std::vector<std::string> m_seeds;  ///< RPC addresses of the balancer or of entries.
 
   // [log]
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -160,6 +160,10 @@
           {.m_example = "127.0.0.1:9101"}, "Address of the Prometheus metrics; none when unset."),
       Key("process", "log_level", OneOf(&S::m_log_level, {"debug", "info", "warn", "error"}),
           {.m_default = "info"}, "Lowest level of the events that are logged."),
+      Key("process", "ready_after", DurationBetween(&S::m_ready_after, 1ms, 1min),
+          {.m_default = "1500ms"},
+          "Time after its start before an entry serves callers, in which agents make themselves "
+          "known."),
       Key("process", "seeds", AddressList(&S::m_seeds),
           {.m_required = RequiredBy::kAgent, .m_example = "127.0.0.1:7101,127.0.0.1:7102"},
           "RPC addresses of the load balancer or of entries, to find the others at start."),
--- a/packages/core/include/ebonypin/core/job_table.h
+++ b/packages/core/include/ebonypin/core/job_table.h
@@ -25,8 +25,9 @@
 /// appender repeats an append for seconds.
 inline constexpr LogOffset kBatchIdOffsets = 65'536;
 
-/// Results of closed jobs are kept up to this total; the oldest are dropped first.
-inline constexpr std::size_t kClosedResultBytes = 64U << 20U;
+/// Results of closed jobs are kept up to this total; the oldest are dropped first. A quarter of the
+/// 64 MB that an entry may use.
+inline constexpr std::size_t kClosedResultBytes = 16U << 20U;
 
 enum class JobEventKind : std::uint8_t {
   kAccepted,
--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -191,6 +191,7 @@
                                   .m_domain = "d",
                                   .m_http_address = m_http[entry],
                                   .m_rpc_address = m_rpc[entry],
+                                  .m_ready_after = std::chrono::milliseconds{1},
                                   .m_seeds = m_rpc,
                                   .m_log_url = "http://" + m_log_address,
                                   .m_log_retention = m_retention};
--- a/packages/daemon/src/entry/api_routes.h
+++ b/packages/daemon/src/entry/api_routes.h
@@ -26,7 +26,8 @@
   WatchService& m_watches;
   RequestService& m_requests;
   MemberService& m_members;
-  const std::atomic<bool>& m_draining;
+  const std::atomic<bool>& m_leaving;   ///< Told to the load balancer.
+  const std::atomic<bool>& m_draining;  ///< New work is refused.
 };
 
 /// POST /v1/requests and everything under /v1/jobs.
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <memory>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 #include "../address.h"
@@ -20,6 +21,9 @@
 constexpr core::Duration kTickInterval = 1s;
 constexpr core::Duration kAliveInterval = 30s;
 constexpr core::Duration kOwnerInterval = 100ms;
+/// Time between telling the load balancer that this entry leaves and refusing new work, so that
+/// calls on their way are still served.
+constexpr core::Duration kLeaveNotice = 2s;
 
 bool IsNaive(const config::Settings& settings) { return settings.m_policy == "naive"; }
 
@@ -92,7 +96,8 @@
     OpenLogs();
     const EntryParts parts{m_settings.m_region, m_settings.m_domain, m_timers,  m_http,
                            *m_region_log,       *m_config_log,       m_config,  m_jobs,
-                           m_watches,           m_requests,          m_members, m_draining};
+                           m_watches,           m_requests,          m_members, m_leaving,
+                           m_draining};
     if (!m_settings.m_metrics_address.empty()) {
       m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this, parts] {
         return ReadEntryMetrics(parts, m_owner, *m_rpc);
@@ -102,7 +107,6 @@
     AddWatchRoutes(parts);
     AddConfigRoutes(parts);
     AddOperationRoutes(parts);
-    m_http.Open();
     m_events.Every(kTickInterval, [this] {
       m_owner.Sweep();
       m_members.Tick();
@@ -116,16 +120,20 @@
       Report(m_requests.Sweep());
     });
     m_events.Every(kOwnerInterval, [this] { m_owner.Tick(); });
+    // Without agents every request would be refused; each sends a heartbeat within a second.
+    std::this_thread::sleep_for(m_settings.m_ready_after);
+    m_http.Open();
   }
 
   void BeginDrain() override {
-    m_draining = true;
+    m_leaving = true;
     m_watches.EndWaits();
     m_members.Leave();
+    m_events.At(Now() + kLeaveNotice, [this] { m_draining = true; });
   }
 
   [[nodiscard]] bool IsDrained() const override {
-    return m_http.Counters().m_in_progress == 0 && m_region_log->Pending() == 0 &&
+    return m_draining && m_http.Counters().m_in_progress == 0 && m_region_log->Pending() == 0 &&
            m_config_log->Pending() == 0 &&
            // Without the log nothing can be handed over; peers claim the shards after 4 s.
            (m_members.HasHandedOver() || !m_region_log->IsReadable());
@@ -260,7 +268,8 @@
 
   const config::Settings m_settings;
   const core::EntryInfo m_self;
-  std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_leaving{false};   ///< The planned stop has begun.
+  std::atomic<bool> m_draining{false};  ///< New work is refused.
   std::atomic<bool> m_stopping{false};
   const std::unique_ptr<platform::LogService> m_log;
   EventThread m_timers;  ///< Deadlines of requests and waits.
--- a/packages/daemon/src/entry/operation_routes.cc
+++ b/packages/daemon/src/entry/operation_routes.cc
@@ -72,7 +72,7 @@
   json["incarnation"] = value::number(self.m_incarnation);
   json["region"] = value::string(parts.m_region);
   json["domain"] = value::string(parts.m_domain);
-  json["draining"] = value::boolean(parts.m_draining);
+  json["draining"] = value::boolean(parts.m_leaving);
   json["log"] = std::move(log);
   json["config_offset"] = value::number(parts.m_config.Offset());
   json["entries"] = std::move(entries);
--- a/packages/daemon/src/entry/owner_service.cc
+++ b/packages/daemon/src/entry/owner_service.cc
@@ -153,7 +153,10 @@
     // A claim that is based on less than the whole log would disturb an owner.
     if (m_stream->IsCaughtUp() && m_stream->IsReadable()) input.m_plan = m_members.Plan(table);
     if (m_offsets) {
-      input.m_rewrite_before = core::OffsetBefore(*m_offsets, m_options.m_retention / 2, Now());
+      const auto retention = m_options.m_retention;
+      input.m_rewrite_before = core::OffsetBefore(*m_offsets, retention / 2, Now());
+      // Records of shards whose owner does not rewrite them are left to it a little longer.
+      input.m_rewrite_late_before = core::OffsetBefore(*m_offsets, retention * 5 / 8, Now());
     }
     Post(core::OnTick(m_owner, Context(table), input));
   });
--- a/packages/daemon/src/entry/watch_routes.cc
+++ b/packages/daemon/src/entry/watch_routes.cc
@@ -30,7 +30,7 @@
   const core::TopicName topic{call.m_parts[0]};
   const auto cursor = QueryNumber(call, "cursor", 0, std::numeric_limits<std::uint64_t>::max());
   const auto limit = QueryNumber(call, "limit", core::kUpdatesPerTopic, core::kUpdatesPerTopic);
-  const auto wait = parts.m_draining ? 0 : QueryNumber(call, "wait_ms", 0, kMaxWaitMs);
+  const auto wait = parts.m_leaving ? 0 : QueryNumber(call, "wait_ms", 0, kMaxWaitMs);
   parts.m_watches.Read(topic, cursor, limit, call.m_arrived + std::chrono::milliseconds{wait},
                        [topic, respond](const core::WatchRead& read) {
                          respond({.m_body = ReadJson(topic, read)});
--- a/packages/daemon/src/entry/work_routes.cc
+++ b/packages/daemon/src/entry/work_routes.cc
@@ -32,6 +32,12 @@
                                  core::ClassSpec& spec) {
   if (parts.m_draining) return Draining();
   const auto found = parts.m_config.Find(request.m_class);
+  if (!found && parts.m_config.Offset() == 0 && !parts.m_config_log.IsCaughtUp()) {
+    // A new entry that has neither read the log nor met a peer cannot tell which classes exist.
+    return core::Error{.m_kind = ErrorKind::kLogUnavailable,
+                       .m_message = "this entry does not know the classes yet; retry",
+                       .m_retry_after = 1s};
+  }
   if (!found) {
     return core::Error{.m_kind = ErrorKind::kUnknownClass,
                        .m_message = "no class '" + request.m_class.m_value +
