Export metrics of agents; measure the footprint of running processes

Cause: agents exported no metrics, RPC bytes were not visible, and the capacity page had no figure of a running process. The event thread lay in the entry's folder although the agent uses it.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ROUNDS ?= 200
 SECONDS ?= 20
 
-.PHONY: deps fuzz build test asan tsan sanitize demo bench faults chaos capacity latency format lint generate clean
+.PHONY: deps footprint fuzz build test asan tsan sanitize demo bench faults chaos capacity latency format lint generate clean
 
 deps:
 	@scripts/deps.sh
@@ -64,6 +64,10 @@
 latency: build
 	@scripts/latency.sh $(BUILD) $(SECONDS)
 
+# Measures processor share, memory and control bytes of a running entry and agent.
+footprint: build
+	@scripts/footprint.sh $(BUILD) 10
+
 generate:
 	@scripts/generate.sh
 
--- a/packages/daemon/src/agent/agent_driver.cc
+++ b/packages/daemon/src/agent/agent_driver.cc
@@ -89,6 +89,11 @@
   return m_ledger.m_counters;
 }
 
+core::AgentLoad AgentDriver::Load() const {
+  const std::lock_guard lock(m_mutex);
+  return core::LoadOf(m_ledger);
+}
+
 void AgentDriver::Perform(const core::AgentActions& actions) {
   std::vector<core::RenewTask> renewals;
   std::vector<core::TaskId> forgotten;
--- a/packages/daemon/src/agent/agent_driver.h
+++ b/packages/daemon/src/agent/agent_driver.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "../entry/event_thread.h"
+#include "../event_thread.h"
 #include "ebonypin/core/agent_ledger.h"
 #include "ebonypin/platform/worker_client.h"
 #include "ebonypin/wire/rpc.h"
@@ -48,6 +48,7 @@
   [[nodiscard]] bool IsStopped() const;
 
   [[nodiscard]] core::AgentCounters Counters() const;
+  [[nodiscard]] core::AgentLoad Load() const;
 
  private:
   /// Runs `event` on the ledger under the lock, then carries out its actions.
--- a/packages/daemon/src/agent/agent_role.cc
+++ b/packages/daemon/src/agent/agent_role.cc
@@ -8,6 +8,7 @@
 
 #include "../address.h"
 #include "agent_driver.h"
+#include "agent_metrics.h"
 #include "ebonypin/daemon/role.h"
 
 namespace ebonypin::daemon {
@@ -31,6 +32,7 @@
 
   ~AgentRole() override {
     // In this order: first what calls the driver ends, then the driver.
+    m_metrics = nullptr;
     m_events->Stop();
     m_rpc = nullptr;
   }
@@ -56,6 +58,11 @@
           m_driver->Serve(message, std::move(reply));
         }});
     m_driver->SetRpc(*m_rpc);
+    if (!m_settings.m_metrics_address.empty()) {
+      m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this] {
+        return ReadAgentMetrics(m_driver->Counters(), m_driver->Load(), *m_rpc);
+      });
+    }
     m_driver->Start();
   }
 
@@ -68,6 +75,7 @@
   const std::shared_ptr<EventThread> m_events = std::make_shared<EventThread>();
   std::unique_ptr<AgentDriver> m_driver;
   std::unique_ptr<wire::Rpc> m_rpc;
+  std::unique_ptr<MetricsServer> m_metrics;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterRole(
--- a/packages/daemon/src/entry/api_routes.h
+++ b/packages/daemon/src/entry/api_routes.h
@@ -3,8 +3,8 @@
 
 #include <atomic>
 
+#include "../event_thread.h"
 #include "config_service.h"
-#include "event_thread.h"
 #include "http_server.h"
 #include "job_service.h"
 #include "member_service.h"
--- a/packages/daemon/src/entry/entry_metrics.cc
+++ b/packages/daemon/src/entry/entry_metrics.cc
@@ -3,16 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "../rpc_metrics.h"
+
 namespace ebonypin::daemon {
 namespace {
 
-template <typename T>
-Metric One(std::string name, std::string help, const T value) {
-  return {.m_name = std::move(name),
-          .m_help = std::move(help),
-          .m_samples = {{.m_value = static_cast<double>(value)}}};
-}
-
 /// Returns a metric with one sample for each log stream.
 template <typename F>
 Metric Logs(const EntryParts& parts, std::string name, std::string help, F&& value) {
@@ -32,31 +27,33 @@
 
 void AddHttp(const EntryParts& parts, std::vector<Metric>& out) {
   const auto& http = parts.m_http.Counters();
-  out.push_back(One("ebonypin_http_calls_total", "Calls of the HTTP API.", http.m_calls.load()));
-  out.push_back(One("ebonypin_http_refused_total", "Calls answered as not run or not found.",
-                    http.m_refused.load()));
-  out.push_back(One("ebonypin_http_unknown_total", "Calls answered with an unknown outcome.",
-                    http.m_unknown.load()));
-  out.push_back(One("ebonypin_http_in_progress", "Calls without an answer so far.",
-                    http.m_in_progress.load()));
+  out.push_back(
+      SingleMetric("ebonypin_http_calls_total", "Calls of the HTTP API.", http.m_calls.load()));
+  out.push_back(SingleMetric("ebonypin_http_refused_total",
+                             "Calls answered as not run or not found.", http.m_refused.load()));
+  out.push_back(SingleMetric("ebonypin_http_unknown_total",
+                             "Calls answered with an unknown outcome.", http.m_unknown.load()));
+  out.push_back(SingleMetric("ebonypin_http_in_progress", "Calls without an answer so far.",
+                             http.m_in_progress.load()));
 }
 
 void AddDispatch(const EntryParts& parts, std::vector<Metric>& out) {
   const auto counters = parts.m_requests.Counters();
   const auto& dispatch = counters.m_dispatch;
-  out.push_back(One("ebonypin_requests_in_flight", "Synchronous requests without an answer.",
-                    counters.m_in_flight));
-  out.push_back(One("ebonypin_dispatch_tries_total", "Requests sent to agents.", dispatch.m_tries));
-  out.push_back(One("ebonypin_dispatch_retries_total", "Tries after a refusal or a failure.",
-                    dispatch.m_retries));
-  out.push_back(One("ebonypin_dispatch_hedges_total", "Second tries while the first one runs.",
-                    dispatch.m_hedges));
-  out.push_back(One("ebonypin_dispatch_late_replies_total",
-                    "Replies of agents that came after the request was answered.",
-                    dispatch.m_late_replies));
-  out.push_back(One("ebonypin_dispatch_damaged_replies_total",
-                    "Replies of agents whose request or hash did not match.",
-                    dispatch.m_damaged_replies));
+  out.push_back(SingleMetric("ebonypin_requests_in_flight",
+                             "Synchronous requests without an answer.", counters.m_in_flight));
+  out.push_back(
+      SingleMetric("ebonypin_dispatch_tries_total", "Requests sent to agents.", dispatch.m_tries));
+  out.push_back(SingleMetric("ebonypin_dispatch_retries_total",
+                             "Tries after a refusal or a failure.", dispatch.m_retries));
+  out.push_back(SingleMetric("ebonypin_dispatch_hedges_total",
+                             "Second tries while the first one runs.", dispatch.m_hedges));
+  out.push_back(SingleMetric("ebonypin_dispatch_late_replies_total",
+                             "Replies of agents that came after the request was answered.",
+                             dispatch.m_late_replies));
+  out.push_back(SingleMetric("ebonypin_dispatch_damaged_replies_total",
+                             "Replies of agents whose request or hash did not match.",
+                             dispatch.m_damaged_replies));
 }
 
 void AddLogs(const EntryParts& parts, std::vector<Metric>& out) {
@@ -97,14 +94,17 @@
                       [&](const core::ShardState& shard) { return shard.m_owner == self; }));
   });
   const auto counters = owner.Counters();
-  out.push_back(One("ebonypin_jobs_open", "Jobs of the region that are not closed.", open));
-  out.push_back(One("ebonypin_jobs_owned", "Open jobs that this entry runs.", counters.m_owned));
-  out.push_back(One("ebonypin_jobs_starting", "Owned jobs between reservation and start.",
-                    counters.m_starting));
-  out.push_back(One("ebonypin_jobs_unresolved",
-                    "Owned non-idempotent attempts whose end is not known.",
-                    counters.m_unresolved));
-  out.push_back(One("ebonypin_shards_owned", "Shards of jobs that this entry owns.", shards));
+  out.push_back(
+      SingleMetric("ebonypin_jobs_open", "Jobs of the region that are not closed.", open));
+  out.push_back(
+      SingleMetric("ebonypin_jobs_owned", "Open jobs that this entry runs.", counters.m_owned));
+  out.push_back(SingleMetric("ebonypin_jobs_starting", "Owned jobs between reservation and start.",
+                             counters.m_starting));
+  out.push_back(SingleMetric("ebonypin_jobs_unresolved",
+                             "Owned non-idempotent attempts whose end is not known.",
+                             counters.m_unresolved));
+  out.push_back(
+      SingleMetric("ebonypin_shards_owned", "Shards of jobs that this entry owns.", shards));
 }
 
 }  // namespace
@@ -116,22 +116,13 @@
   AddDispatch(parts, out);
   AddLogs(parts, out);
   AddJobs(parts, owner, out);
-  out.push_back(One("ebonypin_instances", "Agents that this entry hears from.",
-                    parts.m_requests.Agents().size()));
-  out.push_back(
-      One("ebonypin_entries_live", "Live entries of the region.", parts.m_members.Live().size()));
-  out.push_back(One("ebonypin_config_offset", "Offset of the configuration in force.",
-                    parts.m_config.Offset()));
-  const auto calls = rpc.Counters();
-  out.push_back(One("ebonypin_rpc_calls_total", "Calls sent to other processes.", calls.m_calls));
-  out.push_back(
-      One("ebonypin_rpc_timeouts_total", "Calls that ended by their deadline.", calls.m_timeouts));
-  out.push_back(One("ebonypin_rpc_disconnects_total", "Calls that ended by a lost connection.",
-                    calls.m_disconnects));
-  out.push_back(One("ebonypin_rpc_reconnects_total", "Connections replaced after a timeout.",
-                    calls.m_reconnects));
-  out.push_back(
-      One("ebonypin_rpc_served_total", "Calls served for other processes.", calls.m_served));
+  out.push_back(SingleMetric("ebonypin_instances", "Agents that this entry hears from.",
+                             parts.m_requests.Agents().size()));
+  out.push_back(SingleMetric("ebonypin_entries_live", "Live entries of the region.",
+                             parts.m_members.Live().size()));
+  out.push_back(SingleMetric("ebonypin_config_offset", "Offset of the configuration in force.",
+                             parts.m_config.Offset()));
+  AddRpcMetrics(rpc, out);
   return out;
 }
 
--- a/packages/daemon/src/entry/http_server.cc
+++ b/packages/daemon/src/entry/http_server.cc
@@ -4,7 +4,7 @@
 #include <optional>
 #include <utility>
 
-#include "event_thread.h"
+#include "../event_thread.h"
 
 namespace ebonypin::daemon {
 namespace {
--- a/packages/daemon/src/entry/job_service.h
+++ b/packages/daemon/src/entry/job_service.h
@@ -10,9 +10,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "../event_thread.h"
 #include "ebonypin/core/job_table.h"
 #include "ebonypin/platform/log_tail.h"
-#include "event_thread.h"
 #include "log_stream.h"
 
 namespace ebonypin::daemon {
--- a/packages/daemon/src/entry/log_stream.h
+++ b/packages/daemon/src/entry/log_stream.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "../event_thread.h"
 #include "ebonypin/platform/log_tail.h"
 #include "ebonypin/platform/log_writer.h"
-#include "event_thread.h"
 
 namespace ebonypin::daemon {
 
--- a/packages/daemon/src/entry/member_service.h
+++ b/packages/daemon/src/entry/member_service.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "../event_thread.h"
 #include "config_service.h"
 #include "ebonypin/core/entry_members.h"
-#include "event_thread.h"
 #include "job_service.h"
 #include "log_stream.h"
 #include "request_service.h"
--- a/packages/daemon/src/entry/owner_service.h
+++ b/packages/daemon/src/entry/owner_service.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "../event_thread.h"
 #include "config_service.h"
 #include "ebonypin/core/ejection.h"
 #include "ebonypin/core/fleet_view.h"
@@ -17,7 +18,6 @@
 #include "ebonypin/core/offset_clock.h"
 #include "ebonypin/core/placement.h"
 #include "ebonypin/core/run_time_model.h"
-#include "event_thread.h"
 #include "job_service.h"
 #include "log_stream.h"
 #include "member_service.h"
--- a/packages/daemon/src/entry/request_service.h
+++ b/packages/daemon/src/entry/request_service.h
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "../event_thread.h"
 #include "ebonypin/core/dispatch.h"
-#include "event_thread.h"
 #include "rpc_caller.h"
 
 namespace ebonypin::daemon {
--- a/packages/daemon/src/entry/watch_service.h
+++ b/packages/daemon/src/entry/watch_service.h
@@ -6,8 +6,8 @@
 #include <mutex>
 #include <unordered_map>
 
+#include "../event_thread.h"
 #include "ebonypin/core/watch_table.h"
-#include "event_thread.h"
 #include "log_stream.h"
 
 namespace ebonypin::daemon {
--- /dev/null
+++ b/packages/daemon/src/rpc_metrics.cc
@@ -0,0 +1,25 @@
+#include "rpc_metrics.h"
+
+namespace ebonypin::daemon {
+
+void AddRpcMetrics(const wire::Rpc& rpc, std::vector<Metric>& out) {
+  const auto counters = rpc.Counters();
+  out.push_back(
+      SingleMetric("ebonypin_rpc_calls_total", "Calls sent to other processes.", counters.m_calls));
+  out.push_back(SingleMetric("ebonypin_rpc_timeouts_total", "Calls that ended by their deadline.",
+                             counters.m_timeouts));
+  out.push_back(SingleMetric("ebonypin_rpc_disconnects_total",
+                             "Calls that ended by a lost connection.", counters.m_disconnects));
+  out.push_back(SingleMetric("ebonypin_rpc_reconnects_total",
+                             "Connections replaced after a timeout.", counters.m_reconnects));
+  out.push_back(SingleMetric("ebonypin_rpc_served_total", "Calls served for other processes.",
+                             counters.m_served));
+  out.push_back(SingleMetric("ebonypin_rpc_sent_bytes_total",
+                             "Bytes sent on RPC connections, without TCP and IP headers.",
+                             counters.m_bytes_sent));
+  out.push_back(SingleMetric("ebonypin_rpc_received_bytes_total",
+                             "Bytes received on RPC connections, without TCP and IP headers.",
+                             counters.m_bytes_received));
+}
+
+}  // namespace ebonypin::daemon
--- /dev/null
+++ b/packages/daemon/src/rpc_metrics.h
@@ -0,0 +1,24 @@
+/// Metrics of the RPC connections, which every role exports.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ebonypin/daemon/metrics.h"
+#include "ebonypin/wire/rpc.h"
+
+namespace ebonypin::daemon {
+
+/// Returns a metric with one sample without labels.
+template <typename T>
+[[nodiscard]] Metric SingleMetric(std::string name, std::string help, const T value) {
+  return {.m_name = std::move(name),
+          .m_help = std::move(help),
+          .m_samples = {{.m_value = static_cast<double>(value)}}};
+}
+
+/// Appends calls, failures and bytes of `rpc` to `out`.
+void AddRpcMetrics(const wire::Rpc& rpc, std::vector<Metric>& out);
+
+}  // namespace ebonypin::daemon
