List the jobs that make no progress with their reason

Cause: operators could see that work is stuck, but not which job and why; the API had no such data. Before: findings on log, shards and instances only. Conclusion: a job that no worker takes names the refusal of the last worker asked.

--- a/packages/core/include/ebonypin/core/job_owner.h
+++ b/packages/core/include/ebonypin/core/job_owner.h
@@ -95,6 +95,7 @@
   bool m_lost = false;              ///< The agent was removed since the attempt was last confirmed.
   bool m_replaced = false;          ///< The agent's process was replaced since then.
   std::uint32_t m_failures = 0;     ///< Since the last progress, for backoff.
+  std::string m_last_refusal;       ///< Why the last placement or reservation failed.
   Attempt m_attempt = 0;
   OwnerCallId m_call = 0;  ///< Outstanding call; 0 for none.
   AgentId m_agent;
--- a/packages/core/src/job_owner.cc
+++ b/packages/core/src/job_owner.cc
@@ -92,6 +92,10 @@
   const auto* const reply = std::get_if<ReserveReply>(&message);
   if (reply == nullptr || !reply->m_granted) {
     ++job.m_failures;
+    const auto* const error = std::get_if<Error>(&message);
+    job.m_last_refusal = reply != nullptr   ? reply->m_error.m_message
+                         : error != nullptr ? error->m_message
+                                            : "unexpected reply";
     owner::Wait(turn, state.m_job, job, 100ms * (1U << std::min(job.m_failures, 4U)));
     return;
   }
--- a/packages/core/src/job_owner_steps.cc
+++ b/packages/core/src/job_owner_steps.cc
@@ -147,6 +147,7 @@
         break;
       case OwnerPlacementKind::kLater:
         // The job leaves the ready queue for a while, so that it does not block those behind it.
+        job.m_last_refusal = place.m_reason;
         Wait(turn, id, job, Backoff(job.m_failures++));
         break;
       case OwnerPlacementKind::kNeverFits:
--- a/packages/ctl/src/stuck_command.cc
+++ b/packages/ctl/src/stuck_command.cc
@@ -73,6 +73,27 @@
   }
 }
 
+/// Asks each live entry for the jobs of its own shards.
+void CheckJobs(Context& context, const value& status, std::vector<Finding>& findings) {
+  for (const auto& entry : ListOf(status, "entries")) {
+    ApiClient client({"http://" + TextOf(entry, "http")});
+    const auto stuck = client.Call(
+        {.m_path = "/v1/stuck", .m_repeat_safe = true, .m_timeout = context.m_options.m_timeout});
+    if (!stuck.Ok()) {
+      findings.push_back({fmt::format("entry {} does not answer", TextOf(entry, "entry")),
+                          "the jobs of its shards are not listed here", "ask again in 10 s"});
+      continue;
+    }
+    for (const auto& job : ListOf(stuck.m_body, "jobs")) {
+      const auto instance = TextOf(job, "instance");
+      findings.push_back(
+          {fmt::format("job {} of class {}{}", TextOf(job, "job"), TextOf(job, "class"),
+                       instance.empty() ? "" : " on instance " + instance),
+           TextOf(job, "reason"), "see docs/operators.md, or cancel it with 'job cancel'"});
+    }
+  }
+}
+
 }  // namespace
 
 int Stuck(Context& context, const Arguments&) {
@@ -92,6 +113,7 @@
   CheckLog("config", ObjectOf(logs, "config"), findings);
   CheckShards(status.m_body, findings);
   CheckInstances(ListOf(instances.m_body, "instances"), findings);
+  CheckJobs(context, status.m_body, findings);
   if (context.m_options.m_json) {
     std::vector<value> list;
     for (const auto& finding : findings) {
--- a/packages/ctl/tests/commands_test.cc
+++ b/packages/ctl/tests/commands_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(FollowedAuditPrintsEachChangeOnce);
   CPPUNIT_TEST(DrainWaitsForTheLastWork);
   CPPUNIT_TEST(StuckNamesWhatHoldsWorkBack);
+  CPPUNIT_TEST(StuckListsTheJobsOfEveryEntry);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -273,6 +274,25 @@
     AssertHolds("instance w1 silent", found);
     AssertHolds("no instance takes work", found);
   }
+
+  /// Guards against a job that waits while only the log, shards and instances are looked at.
+  void StuckListsTheJobsOfEveryEntry() {
+    FakeEntry other([&](const FakeCall& call) -> FakeAnswer {
+      CPPUNIT_ASSERT_EQUAL(std::string{"/v1/stuck"}, call.m_path);
+      return {200, Json(R"({"jobs":[{"job":"j1","class":"render","instance":"w1",
+          "reason":"no worker takes it: the slots are taken"}]})")};
+    });
+    const auto address = other.Url().substr(std::string{"http://"}.size());
+    FakeEntry entry([&](const FakeCall& call) -> FakeAnswer {
+      if (call.m_path != "/v1/status") return {200, Json(R"({"instances":[{"id":"w1"}]})")};
+      return {200, Json(R"({"log":{"jobs":{"caught_up":true,"age_ms":10},
+          "config":{"caught_up":true,"age_ms":10}},"entries":[{"entry":"e2","http":")" +
+                        address + R"("}]})")};
+    });
+    const auto found = RunCommand(entry, {"stuck"}).m_out;
+    AssertHolds("job j1 of class render on instance w1", found);
+    AssertHolds("no worker takes it: the slots are taken", found);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CommandsTest);
--- a/packages/daemon/src/entry/api_routes.h
+++ b/packages/daemon/src/entry/api_routes.h
@@ -8,6 +8,7 @@
 #include "http_server.h"
 #include "job_service.h"
 #include "member_service.h"
+#include "owner_service.h"
 #include "request_service.h"
 #include "watch_service.h"
 
@@ -26,6 +27,7 @@
   WatchService& m_watches;
   RequestService& m_requests;
   MemberService& m_members;
+  const OwnerService& m_owner;
   const std::atomic<bool>& m_leaving;   ///< Told to the load balancer.
   const std::atomic<bool>& m_draining;  ///< New work is refused.
 };
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -96,8 +96,8 @@
     OpenLogs();
     const EntryParts parts{m_settings.m_region, m_settings.m_domain, m_timers,  m_http,
                            *m_region_log,       *m_config_log,       m_config,  m_jobs,
-                           m_watches,           m_requests,          m_members, m_leaving,
-                           m_draining};
+                           m_watches,           m_requests,          m_members, m_owner,
+                           m_leaving,           m_draining};
     if (!m_settings.m_metrics_address.empty()) {
       m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this, parts] {
         return ReadEntryMetrics(parts, m_owner, *m_rpc);
--- a/packages/daemon/src/entry/operation_routes.cc
+++ b/packages/daemon/src/entry/operation_routes.cc
@@ -6,8 +6,8 @@
 
 using web::json::value;
 
-constexpr std::uint64_t kMaxChanges = 1000;
-constexpr std::uint64_t kDefaultChanges = 100;
+constexpr std::uint64_t kMaxListed = 1000;
+constexpr std::uint64_t kDefaultListed = 100;
 
 std::int64_t Millis(const core::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -85,6 +85,25 @@
   respond({.m_body = std::move(json)});
 }
 
+value StuckJson(const core::StuckJob& job) {
+  value json = value::object();
+  json["job"] = value::string(job.m_job.m_value);
+  json["class"] = value::string(job.m_class.m_value);
+  json["attempt"] = value::number(job.m_attempt);
+  json["instance"] = value::string(job.m_agent.m_value);
+  json["reason"] = value::string(job.m_reason);
+  return json;
+}
+
+void ServeStuck(const EntryParts& parts, const ApiCall& call, const Respond& respond) {
+  const auto jobs = parts.m_owner.Stuck(QueryNumber(call, "limit", kDefaultListed, kMaxListed));
+  value list = value::array(jobs.size());
+  for (std::size_t i = 0; i < jobs.size(); ++i) list[i] = StuckJson(jobs[i]);
+  value json = value::object();
+  json["jobs"] = std::move(list);
+  respond({.m_body = std::move(json)});
+}
+
 void ServeInstances(const EntryParts& parts, const Respond& respond) {
   const auto agents = parts.m_requests.Agents();
   value instances = value::array(agents.size());
@@ -96,9 +115,8 @@
 
 void ServeAudit(const EntryParts& parts, const ApiCall& call, const Respond& respond) {
   constexpr auto kNewest = std::numeric_limits<std::uint64_t>::max();
-  const auto changes =
-      parts.m_config.Audit(QueryNumber(call, "before", kNewest, kNewest),
-                           QueryNumber(call, "limit", kDefaultChanges, kMaxChanges));
+  const auto changes = parts.m_config.Audit(QueryNumber(call, "before", kNewest, kNewest),
+                                            QueryNumber(call, "limit", kDefaultListed, kMaxListed));
   value list = value::array(changes.size());
   for (std::size_t i = 0; i < changes.size(); ++i) list[i] = ToJson(changes[i]);
   value json = value::object();
@@ -116,6 +134,9 @@
   parts.m_http.Add(methods::GET, "/v1/instances", [parts](const ApiCall&, const Respond& respond) {
     ServeInstances(parts, respond);
   });
+  parts.m_http.Add(methods::GET, "/v1/stuck", [parts](const ApiCall& call, const Respond& respond) {
+    ServeStuck(parts, call, respond);
+  });
   parts.m_http.Add(methods::GET, "/v1/audit", [parts](const ApiCall& call, const Respond& respond) {
     ServeAudit(parts, call, respond);
   });
--- a/packages/daemon/src/entry/owner_service.cc
+++ b/packages/daemon/src/entry/owner_service.cc
@@ -232,4 +232,11 @@
   return counters;
 }
 
+std::vector<core::StuckJob> OwnerService::Stuck(const std::size_t limit) const {
+  std::vector<core::StuckJob> stuck;
+  m_jobs.WithTable(
+      [&](const core::JobTable& table) { stuck = core::StuckJobs(m_owner, table, limit); });
+  return stuck;
+}
+
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/entry/owner_service.h
+++ b/packages/daemon/src/entry/owner_service.h
@@ -18,6 +18,7 @@
 #include "ebonypin/core/offset_clock.h"
 #include "ebonypin/core/placement.h"
 #include "ebonypin/core/run_time_model.h"
+#include "ebonypin/core/stuck_jobs.h"
 #include "job_service.h"
 #include "log_stream.h"
 #include "member_service.h"
@@ -73,6 +74,9 @@
 
   [[nodiscard]] OwnerCounters Counters() const;
 
+  /// Returns at most `limit` jobs of the owned shards that make no progress.
+  [[nodiscard]] std::vector<core::StuckJob> Stuck(std::size_t limit) const;
+
  private:
   /// Action with what carrying it out needs, collected under the lock.
   struct Prepared {
