Check owner records of a job in one place

Cause: three records that only a shard's owner may write repeated the same eleven lines of checks. Change: one function notes the record and returns its open job, or the reason why it is void. Conclusion: behaviour is unchanged, 5 lines fewer.

--- a/packages/core/src/job_table.cc
+++ b/packages/core/src/job_table.cc
@@ -144,18 +144,27 @@
   event.m_kind = JobEventKind::kAccepted;
 }
 
-void ApplyRecord(const Fold& fold, const JobAssigned& record, const LogBatch&, JobEvent& event) {
+/// Notes a record that only the shard's owner may write; `writer` wrote it. Returns its open job,
+/// or nullptr with the reason when the record is void.
+template <typename Record>
+OpenJob* MentionByOwner(const Fold& fold, const Record& record, const EntryId& writer,
+                        JobEvent& event) {
   event.m_job = record.m_job;
   event.m_attempt = record.m_attempt;
   event.m_epoch = record.m_epoch;
   ShardState& shard = ShardOfJob(fold.m_table, record.m_job);
-  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, record.m_entry);
+  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, writer);
   OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  if (job == nullptr || epoch_valid) return job;
+  event.m_reason = VoidReason::kStaleEpoch;
+  return nullptr;
+}
+
+void ApplyRecord(const Fold& fold, const JobAssigned& record, const LogBatch&, JobEvent& event) {
+  OpenJob* const job = MentionByOwner(fold, record, record.m_entry, event);
   if (job == nullptr) return;
   JobState& state = job->m_state;
-  if (!epoch_valid) {
-    event.m_reason = VoidReason::kStaleEpoch;
-  } else if (state.m_assigned || record.m_attempt != state.m_attempt + 1) {
+  if (state.m_assigned || record.m_attempt != state.m_attempt + 1) {
     event.m_reason = VoidReason::kStaleAttempt;
   } else {
     state.m_attempt = record.m_attempt;
@@ -170,17 +179,10 @@
 
 void ApplyRecord(const Fold& fold, const JobRequeued& record, const LogBatch& batch,
                  JobEvent& event) {
-  event.m_job = record.m_job;
-  event.m_attempt = record.m_attempt;
-  event.m_epoch = record.m_epoch;
-  ShardState& shard = ShardOfJob(fold.m_table, record.m_job);
-  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, batch.m_entry);
-  OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  OpenJob* const job = MentionByOwner(fold, record, batch.m_entry, event);
   if (job == nullptr) return;
   JobState& state = job->m_state;
-  if (!epoch_valid) {
-    event.m_reason = VoidReason::kStaleEpoch;
-  } else if (!state.m_assigned || record.m_attempt != state.m_attempt) {
+  if (!state.m_assigned || record.m_attempt != state.m_attempt) {
     event.m_reason = VoidReason::kStaleAttempt;
   } else {
     state.m_assigned = false;
@@ -203,18 +205,11 @@
 
 void ApplyRecord(const Fold& fold, const JobFinished& record, const LogBatch& batch,
                  JobEvent& event) {
-  event.m_job = record.m_job;
-  event.m_attempt = record.m_attempt;
-  event.m_epoch = record.m_epoch;
-  ShardState& shard = ShardOfJob(fold.m_table, record.m_job);
-  const bool epoch_valid = EpochValid(fold.m_table, shard, record.m_epoch, batch.m_entry);
-  OpenJob* const job = Mention(fold, record.m_job, event.m_reason);
+  OpenJob* const job = MentionByOwner(fold, record, batch.m_entry, event);
   if (job == nullptr) return;
   JobState& state = job->m_state;
-  if (!epoch_valid) {
-    event.m_reason = VoidReason::kStaleEpoch;
-  } else if (record.m_attempt != state.m_attempt ||
-             (!state.m_assigned && !EndsWithoutAttempt(record.m_outcome))) {
+  if (record.m_attempt != state.m_attempt ||
+      (!state.m_assigned && !EndsWithoutAttempt(record.m_outcome))) {
     event.m_reason = VoidReason::kStaleAttempt;
   } else {
     state.m_assigned = false;
