--- a/packages/daemon/src/entry/json_codec.cc
+++ b/packages/daemon/src/entry/json_codec.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <stdexcept>
 
+#include "ebonypin/config/class_file.h"
+
 namespace ebonypin::daemon {
 namespace {
 
@@ -75,23 +77,11 @@
   return target;
 }
 
-std::string KindName(const core::ClassKind kind) {
-  switch (kind) {
-    case core::ClassKind::kRequest:
-      return "request";
-    case core::ClassKind::kJob:
-      return "job";
-    case core::ClassKind::kWatch:
-      return "watch";
-  }
-  return "request";
-}
-
 core::ClassKind ReadKind(const value& json) {
   const auto name = ReadName(json, "kind");
   for (const auto kind :
        {core::ClassKind::kRequest, core::ClassKind::kJob, core::ClassKind::kWatch}) {
-    if (name == KindName(kind)) return kind;
+    if (name == config::ClassKindName(kind)) return kind;
   }
   throw std::invalid_argument("'kind' must be request, job or watch");
 }
@@ -175,7 +165,7 @@
   value json = value::object();
   json["name"] = value::string(spec.m_name.m_value);
   json["team"] = value::string(spec.m_team.m_value);
-  json["kind"] = value::string(KindName(spec.m_kind));
+  json["kind"] = value::string(config::ClassKindName(spec.m_kind));
   json["exclusive"] = value::boolean(spec.m_exclusive);
   json["non_idempotent"] = value::boolean(spec.m_non_idempotent);
   json["target"] = std::move(target);
