Tell a restarted agent what its runs are

Cause: an agent that restarts finds its runs in the worker's list, which names neither image nor target. The code that should have taken the missing part from a repeated start order never ran, as no coordinator repeats one. A share set by the former agent also stayed in force, unknown.

Change: an order kind that describes and never starts; reports say which runs lack a description; the share of a found run is set anew.

--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -38,6 +38,8 @@
   /// Of the last half second. Serving tasks: tail latency in milliseconds; others: processors in
   /// use, in thousandths.
   double m_figure = 0.0;
+  /// The agent has the order that started it; not after a restart of the agent.
+  bool m_order_known = true;
 
   friend bool operator==(const RunStatus&, const RunStatus&) = default;
 };
@@ -106,11 +108,17 @@
   friend bool operator==(const StartOrder&, const StartOrder&) = default;
 };
 
-/// Order of a coordinator to an agent: a start, or a stop when `m_is_stop`.
+enum class OrderKind : std::uint8_t {
+  kStart,
+  kStop,     ///< Uses only the task and the run.
+  kDescribe  ///< Tells what a run is that an earlier agent started; never starts anything.
+};
+
+/// Order of a coordinator to an agent.
 struct Order {
   std::uint64_t m_number = 0;  ///< Increases by one within a session.
-  bool m_is_stop = false;
-  StartOrder m_start;  ///< A stop uses only the task and the run.
+  OrderKind m_kind = OrderKind::kStart;
+  StartOrder m_start;
 
   friend bool operator==(const Order&, const Order&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -56,6 +56,7 @@
 
 struct LocalRun {
   StartOrder m_order;
+  bool m_order_known = true;  ///< Otherwise only the task and the run of the order are set.
   RunStage m_stage = RunStage::kStarting;
   bool m_in_flight = false;   ///< A call about it has no answer yet.
   bool m_maybe_sent = false;  ///< A start without an answer may still be carried out.
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -31,6 +31,17 @@
   return agent.m_orders.back();
 }
 
+/// Tells the agent what a run is that an earlier agent started there: without its target or image
+/// a serving run would not be protected from filling ones.
+void DescribeRun(Agent& agent, const Job& job, const TaskRef& ref, const Task& task) {
+  const bool ordered = std::any_of(agent.m_orders.begin(), agent.m_orders.end(),
+                                   [&](const Order& order) { return order.m_start.m_task == ref; });
+  if (ordered) return;
+  Order& order = AddOrder(agent);
+  order.m_kind = OrderKind::kDescribe;
+  order.m_start = OrderFor(job, ref, task);
+}
+
 /// Begins a new session: orders of the former one are void, because the agent has lost it.
 void BeginSession(Coordinator& state, Agent& agent) {
   agent.m_session = (state.m_epoch << 24U) | state.m_next_session++;
@@ -82,6 +93,7 @@
   }
   if (!run.m_checkpoint.empty()) task->m_checkpoint = run.m_checkpoint;
   NoteShare(state, now, run, job->m_spec.m_steps[run.m_task.m_step], *task);
+  if (!run.m_order_known) DescribeRun(agent, *job, run.m_task, *task);
   if (job->m_closed) OrderStop(state, run.m_task, *task, "its job is closed");
 }
 
@@ -209,13 +221,24 @@
   agent->second.m_held.erase(held);
 }
 
+StartOrder OrderFor(const Job& job, const TaskRef& ref, const Task& task) {
+  const StepSpec& spec = job.m_spec.m_steps[ref.m_step];
+  return {.m_task = ref,
+          .m_run = task.m_run,
+          .m_payload = job.m_spec.m_payload,
+          .m_checkpoint = task.m_checkpoint,
+          .m_latency_target = spec.m_latency_target,
+          .m_fills = spec.m_fills,
+          .m_image = spec.m_image};
+}
+
 void OrderStop(Coordinator& state, const TaskRef& ref, Task& task, std::string reason) {
   if (task.m_stopping) return;
   Agent& agent = state.m_agents.at(task.m_agent);
   task.m_stopping = true;
   ++state.m_counters.m_stops;
   Order& order = AddOrder(agent);
-  order.m_is_stop = true;
+  order.m_kind = OrderKind::kStop;
   order.m_start.m_task = ref;
   order.m_start.m_run = task.m_run;
   Decide(state, "run stopped", ref, task.m_run, task.m_agent, std::move(reason));
@@ -225,12 +248,12 @@
   ++agent.m_strays;
   const bool ordered =
       std::any_of(agent.m_orders.begin(), agent.m_orders.end(), [&](const Order& order) {
-        return order.m_is_stop && order.m_start.m_task == run.m_task &&
+        return order.m_kind == OrderKind::kStop && order.m_start.m_task == run.m_task &&
                order.m_start.m_run == run.m_run;
       });
   if (ordered || agent.m_session == 0) return;
   Order& order = AddOrder(agent);
-  order.m_is_stop = true;
+  order.m_kind = OrderKind::kStop;
   order.m_start.m_task = run.m_task;
   order.m_start.m_run = run.m_run;
   Decide(state, "stray run stopped", run.m_task, run.m_run, agent.m_id, std::move(reason));
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -19,6 +19,9 @@
 /// Takes the run off its agent and sets the task to waiting.
 void Release(Coordinator& state, const TaskRef& ref, Task& task);
 
+/// Returns what an agent has to know of the task's current run.
+[[nodiscard]] StartOrder OrderFor(const Job& job, const TaskRef& ref, const Task& task);
+
 /// Adds an order to stop the run unless there is one.
 void OrderStop(Coordinator& state, const TaskRef& ref, Task& task, std::string reason);
 
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -104,13 +104,7 @@
   task.m_agent = agent.m_id;
   task.m_placed = task.m_progressed = now;
   Order order{.m_number = agent.m_next_order++};
-  order.m_start = {.m_task = need.m_ref,
-                   .m_run = run,
-                   .m_payload = need.m_job.m_spec.m_payload,
-                   .m_checkpoint = task.m_checkpoint,
-                   .m_latency_target = need.m_spec.m_latency_target,
-                   .m_fills = need.m_spec.m_fills,
-                   .m_image = need.m_spec.m_image};
+  order.m_start = OrderFor(need.m_job, need.m_ref, task);
   const auto ticket = need.m_step.m_tickets.find(agent.m_worker.m_id);
   if (ticket != need.m_step.m_tickets.end()) order.m_start.m_ticket = ticket->second;
   task.m_order = order.m_number;
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -46,14 +46,21 @@
 void ApplyStart(WorkerAgent& agent, const Time now, const StartOrder& order) {
   const auto found = agent.m_runs.find(order.m_task);
   if (found != agent.m_runs.end()) {
-    // A repeated order describes a run that an earlier agent started.
-    if (found->second.m_order.m_run == order.m_run) found->second.m_order = order;
     return;
   }
   if (agent.m_worker.m_draining) return;
   agent.m_runs[order.m_task] = {.m_order = order, .m_next_call = now};
 }
 
+/// Takes what an earlier agent was told about a run that it started.
+void ApplyDescription(WorkerAgent& agent, const StartOrder& order) {
+  const auto found = agent.m_runs.find(order.m_task);
+  if (found == agent.m_runs.end() || found->second.m_order.m_run != order.m_run) return;
+  found->second.m_order = order;
+  found->second.m_order_known = true;
+  agent.m_report_due = true;
+}
+
 void ApplyStop(WorkerAgent& agent, const Time now, const StartOrder& order) {
   const auto found = agent.m_runs.find(order.m_task);
   if (found == agent.m_runs.end() || found->second.m_order.m_run != order.m_run) return;
@@ -167,6 +174,9 @@
       // Of an earlier agent, or a start that was taken for refused.
       local.m_order.m_task = run.m_task;
       local.m_order.m_run = run.m_run;
+      local.m_order_known = false;
+      // The earlier agent may have paced it down.
+      local.m_paced = 0;
       local.m_stage = RunStage::kRunning;
       agent.m_report_due = true;
     }
@@ -303,10 +313,16 @@
   for (const auto& order : orders.m_orders) {
     if (order.m_number != agent.m_last_order + 1) continue;
     agent.m_last_order = order.m_number;
-    if (order.m_is_stop) {
-      ApplyStop(agent, now, order.m_start);
-    } else {
-      ApplyStart(agent, now, order.m_start);
+    switch (order.m_kind) {
+      case OrderKind::kStart:
+        ApplyStart(agent, now, order.m_start);
+        break;
+      case OrderKind::kStop:
+        ApplyStop(agent, now, order.m_start);
+        break;
+      case OrderKind::kDescribe:
+        ApplyDescription(agent, order.m_start);
+        break;
     }
   }
   reply.m_accepted = true;
@@ -328,7 +344,8 @@
                              .m_run = run.m_order.m_run,
                              .m_percent = run.m_percent,
                              .m_checkpoint = run.m_checkpoint,
-                             .m_figure = run.m_figure});
+                             .m_figure = run.m_figure,
+                             .m_order_known = run.m_order_known});
   }
   if (report.m_session == 0) {
     for (const auto& [images, pair] : agent.m_pairs.m_pairs) {
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -464,6 +464,7 @@
   CPPUNIT_TEST_SUITE(CoordinatorTakeoverTest);
   CPPUNIT_TEST(InheritedWorkWaitsForSilentMembers);
   CPPUNIT_TEST(ListedRunsAreAdopted);
+  CPPUNIT_TEST(ARestartedAgentIsToldWhatItsRunsAre);
   CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
   CPPUNIT_TEST(RecordedProgressIsRestored);
   CPPUNIT_TEST(LearnedPairsOutliveTheirCoordinator);
@@ -510,6 +511,29 @@
     CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kDone);
   }
 
+  void ARestartedAgentIsToldWhatItsRunsAre() {
+    Site site;
+    site.Join("a");
+    auto watch = MakeJob("watch");
+    watch.m_steps[0].m_long_running = true;
+    watch.m_steps[0].m_latency_target = 18ms;
+    watch.m_steps[0].m_image = {"search"};
+    site.Accept(watch);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    auto report = site.Report("a");
+    report.m_session = 0;
+    report.m_last_order = 0;
+    report.m_runs = {{.m_task = Ref("watch"), .m_run = 1, .m_order_known = false}};
+    (void)OnReport(site.m_state, site.m_now, report);
+    report.m_session = site.m_state.m_agents.at({"a"}).m_session;
+    (void)OnReport(site.m_state, site.m_now, report);
+    const auto& orders = site.m_state.m_agents.at({"a"}).m_orders;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+    CPPUNIT_ASSERT(orders[0].m_kind == OrderKind::kDescribe);
+    CPPUNIT_ASSERT(orders[0].m_start.m_latency_target == 18ms);
+    CPPUNIT_ASSERT_EQUAL(std::string{"search"}, orders[0].m_start.m_image.m_value);
+  }
+
   /// Guards against a fourth failure that goes uncounted because a later run's end was reported
   /// first, by another agent (found on a day with a store outage and a change of coordinator).
   void EndsOfSeveralRunsCountInAnyOrder() {
--- a/packages/core/tests/fleet/fleet_fixture.h
+++ b/packages/core/tests/fleet/fleet_fixture.h
@@ -95,7 +95,7 @@
     std::size_t i = 0;
     for (const auto& [id, agent] : m_state.m_agents) {
       for (const auto& order : agent.m_orders) {
-        if (order.m_number >= before[i] && !order.m_is_stop) {
+        if (order.m_number >= before[i] && order.m_kind == OrderKind::kStart) {
           starts.emplace_back(id.m_value, order.m_start);
         }
       }
@@ -109,7 +109,7 @@
     std::vector<TaskRef> stops;
     for (const auto& [id, agent] : m_state.m_agents) {
       for (const auto& order : agent.m_orders) {
-        if (order.m_is_stop) stops.push_back(order.m_start.m_task);
+        if (order.m_kind == OrderKind::kStop) stops.push_back(order.m_start.m_task);
       }
     }
     return stops;
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -45,12 +45,13 @@
     return *call;
   }
 
-  bool Order(const std::uint64_t number, const RunNumber run, const bool stop = false) {
+  bool Order(const std::uint64_t number, const RunNumber run,
+             const OrderKind kind = OrderKind::kStart) {
     return OnOrders(m_agent, m_now,
                     {.m_epoch = 1,
                      .m_session = 9,
                      .m_orders = {{.m_number = number,
-                                   .m_is_stop = stop,
+                                   .m_kind = kind,
                                    .m_start = {.m_task = kTask, .m_run = run}}}})
         .m_accepted;
   }
@@ -72,6 +73,8 @@
   CPPUNIT_TEST(ANewLifeOfTheWorkerHasNoRunsAndAHigherFence);
   CPPUNIT_TEST(ALateHeartbeatChangesNothing);
   CPPUNIT_TEST(EndsAreKeptUntilTheyAreRecorded);
+  CPPUNIT_TEST(ARunOfAnEarlierAgentIsDescribedAndProtected);
+  CPPUNIT_TEST(ADescriptionStartsNothing);
   CPPUNIT_TEST(ADrainingWorkerStartsNothing);
   CPPUNIT_TEST(ALatePaceIsUndone);
   CPPUNIT_TEST_SUITE_END();
@@ -272,6 +275,45 @@
     CPPUNIT_ASSERT_EQUAL(100U, NextCalls(site.m_agent, site.m_now).at(0).m_percent);
   }
 
+  /// Guards against serving runs without protection after a restart of their agent (association's
+  /// trouble-3: 740 s over the target, nearly all after all processes were killed).
+  void ARunOfAnEarlierAgentIsDescribedAndProtected() {
+    Granted site;
+    TaskRef filling = kTask;
+    filling.m_index = 1;
+    const std::vector<ListedRun> listed = {
+        {.m_task = kTask, .m_run = 1, .m_percent = 100, .m_figure = 90.0},
+        {.m_task = filling, .m_run = 1, .m_percent = 5, .m_figure = 2000.0}};
+    (void)site.Hold(listed);
+    for (const auto& run : MakeReport(site.m_agent, site.m_now).m_runs) {
+      CPPUNIT_ASSERT(!run.m_order_known);
+    }
+    const StartOrder serves{
+        .m_task = kTask, .m_run = 1, .m_latency_target = 18ms, .m_image = {"watch"}};
+    const StartOrder fills{.m_task = filling, .m_run = 1, .m_fills = true, .m_image = {"press"}};
+    (void)OnOrders(
+        site.m_agent, site.m_now,
+        {.m_epoch = 1,
+         .m_session = 9,
+         .m_orders = {{.m_number = 1, .m_kind = OrderKind::kDescribe, .m_start = serves},
+                      {.m_number = 2, .m_kind = OrderKind::kDescribe, .m_start = fills}}});
+    CPPUNIT_ASSERT(MakeReport(site.m_agent, site.m_now).m_runs.at(0).m_order_known);
+    // The share that the earlier agent set is not known, so it is set anew.
+    CPPUNIT_ASSERT_EQUAL(100U, NextCalls(site.m_agent, site.m_now).at(0).m_percent);
+    for (int i = 0; i < 20; ++i) {
+      site.m_now += 200ms;
+      (void)site.Hold(listed);
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, site.m_agent.m_runs.at(filling).m_allowed);
+  }
+
+  void ADescriptionStartsNothing() {
+    Granted site;
+    CPPUNIT_ASSERT(site.Order(1, 1, OrderKind::kDescribe));
+    CPPUNIT_ASSERT(!site.Lists());
+    CPPUNIT_ASSERT(NextCalls(site.m_agent, site.m_now).empty());
+  }
+
   void ADrainingWorkerStartsNothing() {
     Granted site;
     auto draining = site.m_worker;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -66,6 +66,7 @@
   percent @2 :UInt32;
   checkpoint @3 :Data;
   figure @4 :Float64;
+  orderKnown @5 :Bool;
 }
 struct ImagePair { serving @0 :Text; filling @1 :Text; extra @2 :Float64; idleMs @3 :Float64; }
 struct RunEnded {
@@ -102,7 +103,7 @@
 
 struct Order {
   number @0 :UInt64;
-  isStop @1 :Bool;
+  kind @1 :UInt8;
   task @2 :TaskRef;
   run @3 :UInt64;
   payload @4 :Data;
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -154,6 +154,7 @@
   out.setPercent(in.m_percent);
   out.setCheckpoint(PutData(in.m_checkpoint));
   out.setFigure(in.m_figure);
+  out.setOrderKnown(in.m_order_known);
 }
 
 core::fleet::RunStatus Get(const schema::fleet::RunStatus::Reader in) {
@@ -161,7 +162,8 @@
           .m_run = in.getRun(),
           .m_percent = in.getPercent(),
           .m_checkpoint = GetData(in.getCheckpoint()),
-          .m_figure = in.getFigure()};
+          .m_figure = in.getFigure(),
+          .m_order_known = in.getOrderKnown()};
 }
 
 void Put(schema::fleet::ImagePair::Builder out, const core::fleet::ImagePair& in) {
@@ -244,7 +246,7 @@
 
 void Put(schema::fleet::Order::Builder out, const core::fleet::Order& in) {
   out.setNumber(in.m_number);
-  out.setIsStop(in.m_is_stop);
+  out.setKind(static_cast<std::uint8_t>(in.m_kind));
   Put(out.initTask(), in.m_start.m_task);
   out.setRun(in.m_start.m_run);
   out.setPayload(PutData(in.m_start.m_payload));
@@ -257,7 +259,7 @@
 
 core::fleet::Order Get(const schema::fleet::Order::Reader in) {
   return {.m_number = in.getNumber(),
-          .m_is_stop = in.getIsStop(),
+          .m_kind = GetEnum(in.getKind(), core::fleet::OrderKind::kDescribe),
           .m_start = {.m_task = Get(in.getTask()),
                       .m_run = in.getRun(),
                       .m_payload = GetData(in.getPayload()),
