Keep what was learned of image pairs in the store

Change: one keyed record of about 2 KB, at most every 5 s, with the next append that is due anyway. Agents no longer carry pairs to a new coordinator; that part of their report is gone.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -55,6 +55,8 @@
   Duration m_filler_stall_limit = std::chrono::seconds{10};
   /// Between two lessons from one worker's figures, which cover half a second.
   Duration m_learn_interval = std::chrono::milliseconds{450};
+  /// Between two records of what was learned; a record is about 2 KB.
+  Duration m_pairs_interval = std::chrono::seconds{5};
   /// Part of their committed processors that serving tasks use on average; the rest is left over
   /// for filling tasks.
   double m_serving_use = 0.5;
@@ -223,6 +225,9 @@
   std::vector<Decision> m_decisions;  ///< Since the driver took them last.
   CoordinatorCounters m_counters;
   ImagePairs m_pairs;
+  bool m_pairs_changed = false;  ///< Since `m_pairs_written`.
+  Time m_pairs_written;
+  std::optional<ImagePairsRecord> m_unwritten_pairs;  ///< Goes with the next append.
 };
 
 /// Restores one stored record; `record` must be of this coordinator's topic.
@@ -230,6 +235,8 @@
 void Restore(Coordinator& state, JobProgress progress);
 void Restore(Coordinator& state, const MemberRecord& member);
 
+void Restore(Coordinator& state, Time now, const ImagePairsRecord& pairs);
+
 /// Ends the restoring. Grants of earlier epochs have ended at `silent_until` at the latest.
 void FinishRestore(Coordinator& state, Time now, Time silent_until);
 
--- a/packages/core/include/ebonypin/core/fleet/image_pairs.h
+++ b/packages/core/include/ebonypin/core/fleet/image_pairs.h
@@ -30,6 +30,16 @@
   friend bool operator==(const ImagePairs&, const ImagePairs&) = default;
 };
 
+/// Effect of one processor of filling tasks of an image on serving tasks of another.
+struct ImagePair {
+  ImageName m_serving;
+  ImageName m_filling;
+  double m_extra = 0.0;    ///< Growth of the serving task's utilisation.
+  double m_idle_ms = 0.0;  ///< Its latency without load; zero: not known.
+
+  friend bool operator==(const ImagePair&, const ImagePair&) = default;
+};
+
 /// Processors in use by the filling tasks of an image on one worker.
 struct FillingLoad {
   ImageName m_image;
@@ -69,6 +79,16 @@
 void UpdateBase(ServingBase& base, const ImagePairs& pairs, const ImageName& serving,
                 double latency_ms, double extra) noexcept;
 
+/// Returns what is known of one pair.
+[[nodiscard]] ImagePair Describe(const ImagePairs& pairs, const ImageName& serving,
+                                 const ImageName& filling, Time now);
+
+/// Returns the pairs that were learned lately, and forgets the others.
+[[nodiscard]] std::vector<ImagePair> TakeRecent(ImagePairs& pairs, Time now);
+
+/// Takes over what was learned elsewhere or earlier.
+void Adopt(ImagePairs& pairs, const std::vector<ImagePair>& known, Time now);
+
 /// Learns from a latency beside `filling` of a task whose own utilisation is `base_load`.
 void LearnPairs(ImagePairs& pairs, const ImageName& serving, double base_load, double latency_ms,
                 const std::vector<FillingLoad>& filling, Time now);
--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/core/fleet/image_pairs.h"
 #include "ebonypin/core/fleet/job.h"
 
 namespace ebonypin::core::fleet {
@@ -55,16 +56,6 @@
   friend bool operator==(const RunEnded&, const RunEnded&) = default;
 };
 
-/// Effect of one processor of filling tasks of an image on serving tasks of another.
-struct ImagePair {
-  ImageName m_serving;
-  ImageName m_filling;
-  double m_extra = 0.0;    ///< Growth of the serving task's utilisation.
-  double m_idle_ms = 0.0;  ///< Its latency without load; zero: not known.
-
-  friend bool operator==(const ImagePair&, const ImagePair&) = default;
-};
-
 /// Agent to coordinator, twice a second and after each change.
 struct AgentReport {
   AgentId m_agent;
@@ -76,7 +67,6 @@
   WorkerInfo m_worker;
   std::vector<RunStatus> m_runs;
   std::vector<RunEnded> m_ends;
-  std::vector<ImagePair> m_pairs;  ///< Without a session only: what a former coordinator learned.
 
   friend bool operator==(const AgentReport&, const AgentReport&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -6,9 +6,11 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
+#include "ebonypin/core/fleet/image_pairs.h"
 #include "ebonypin/core/fleet/job.h"
 
 namespace ebonypin::core::fleet {
@@ -57,6 +59,14 @@
   friend bool operator==(const CoordinatorRecord&, const CoordinatorRecord&) = default;
 };
 
+/// What was learned of pairs of images, so that it need not be learned again after all processes
+/// were lost: until then filling tasks disturb serving ones, or rest for nothing.
+struct ImagePairsRecord {
+  std::vector<ImagePair> m_pairs;
+
+  friend bool operator==(const ImagePairsRecord&, const ImagePairsRecord&) = default;
+};
+
 /// Removal of the record of a key.
 struct RemovedRecord {
   std::string m_key;
@@ -65,10 +75,12 @@
 };
 
 /// Change of one key of the topic.
-using RecordChange = std::variant<JobSpec, JobProgress, MemberRecord, RemovedRecord>;
+using RecordChange =
+    std::variant<JobSpec, JobProgress, MemberRecord, ImagePairsRecord, RemovedRecord>;
 
 [[nodiscard]] std::string JobKey(const JobId& job);
 [[nodiscard]] std::string ProgressKey(const JobId& job);
 [[nodiscard]] std::string MemberKey(const AgentId& agent);
+inline constexpr std::string_view kImagePairsKey = "pairs";
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -165,17 +165,14 @@
       auto& base = FindTask(state, run.m_task)->m_base;
       if (base.m_load > 0.0) {
         LearnPairs(state.m_pairs, image, base.m_load, run.m_figure, filling, now);
+        state.m_pairs_changed = true;
       }
       UpdateBase(base, state.m_pairs, image, run.m_figure,
                  PredictedExtra(state.m_pairs, image, filling, now));
       serving.m_load = base.m_load;
     }
     for (const auto& cause : filling) {
-      pairs[{image, cause.m_image}] = {
-          .m_serving = image,
-          .m_filling = cause.m_image,
-          .m_extra = ExtraPerCore(state.m_pairs, image, cause.m_image, now),
-          .m_idle_ms = IdleLatency(state.m_pairs, image)};
+      pairs[{image, cause.m_image}] = Describe(state.m_pairs, image, cause.m_image, now);
     }
   }
   std::vector<ImagePair> known;
@@ -183,17 +180,6 @@
   return known;
 }
 
-/// Takes over what a former coordinator told an agent about pairs that are not known here.
-void InheritPairs(Coordinator& state, const Time now, const AgentReport& report) {
-  for (const auto& pair : report.m_pairs) {
-    state.m_pairs.m_pairs.try_emplace({pair.m_serving, pair.m_filling},
-                                      PairEstimate{.m_extra = pair.m_extra, .m_learned = now});
-    if (pair.m_idle_ms > 0.0) {
-      state.m_pairs.m_idle_ms.try_emplace(pair.m_serving, pair.m_idle_ms);
-    }
-  }
-}
-
 void DropMember(Coordinator& state, const AgentId& agent) {
   state.m_removed_keys.push_back(MemberKey(agent));
 }
@@ -283,7 +269,6 @@
   agent.m_strays = 0;
   for (const auto& run : report.m_runs) OnRun(state, now, agent, run);
   EndMissing(state, now, agent, report, new_session);
-  InheritPairs(state, now, report);
   reply.m_pairs = Learn(state, now, agent, report);
   agent.m_granted = now;
   reply.m_session = agent.m_session;
@@ -310,6 +295,10 @@
   agent.m_recorded = true;
 }
 
+void Restore(Coordinator& state, const Time now, const ImagePairsRecord& pairs) {
+  Adopt(state.m_pairs, pairs.m_pairs, now);
+}
+
 void FinishRestore(Coordinator& state, const Time now, const Time silent_until) {
   state.m_silent_until = silent_until;
   for (auto& [id, job] : state.m_jobs) job.m_accepted = job.m_last_ran = now;
@@ -421,6 +410,11 @@
     state.m_silent_members.clear();
   }
   DropClosedJobs(state, wall);
+  if (state.m_pairs_changed && now - state.m_pairs_written >= state.m_options.m_pairs_interval) {
+    state.m_pairs_changed = false;
+    state.m_pairs_written = now;
+    state.m_unwritten_pairs = {.m_pairs = TakeRecent(state.m_pairs, now)};
+  }
 }
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -73,6 +73,9 @@
     batch.m_records.emplace_back(MemberRecord{.m_agent = id, .m_rpc_address = agent.m_rpc_address});
     batch.m_members.push_back(id);
   }
+  if (state.m_unwritten_pairs) {
+    batch.m_records.emplace_back(*std::exchange(state.m_unwritten_pairs, std::nullopt));
+  }
   for (const auto& [id, agent] : state.m_agents) {
     if (agent.m_ends_seen <= agent.m_ends_recorded) continue;
     batch.m_ends.push_back(
--- a/packages/core/src/fleet/image_pairs.cc
+++ b/packages/core/src/fleet/image_pairs.cc
@@ -11,6 +11,8 @@
 constexpr double kPrior = 0.12;
 /// Half-life of the distance from the prior: no pair of the recorded days changed within a minute.
 constexpr auto kHalfLife = std::chrono::minutes{5};
+/// Three half-lives: little is left of the distance from the prior.
+constexpr auto kForgetAfter = std::chrono::minutes{15};
 constexpr double kLargestExtra = 8.0;
 /// Figures are rounded to whole ms, so the lowest one may be above the idle latency.
 constexpr double kIdleShare = 0.95;
@@ -105,6 +107,32 @@
   base.m_load = std::min(base.m_load + weight * (alone - base.m_load), load);
 }
 
+ImagePair Describe(const ImagePairs& pairs, const ImageName& serving, const ImageName& filling,
+                   const Time now) {
+  return {.m_serving = serving,
+          .m_filling = filling,
+          .m_extra = ExtraPerCore(pairs, serving, filling, now),
+          .m_idle_ms = IdleLatency(pairs, serving)};
+}
+
+std::vector<ImagePair> TakeRecent(ImagePairs& pairs, const Time now) {
+  std::erase_if(pairs.m_pairs,
+                [now](const auto& pair) { return now - pair.second.m_learned > kForgetAfter; });
+  std::vector<ImagePair> recent;
+  recent.reserve(pairs.m_pairs.size());
+  for (const auto& [images, pair] : pairs.m_pairs) {
+    recent.push_back(Describe(pairs, images.first, images.second, now));
+  }
+  return recent;
+}
+
+void Adopt(ImagePairs& pairs, const std::vector<ImagePair>& known, const Time now) {
+  for (const auto& pair : known) {
+    pairs.m_pairs[{pair.m_serving, pair.m_filling}] = {.m_extra = pair.m_extra, .m_learned = now};
+    if (pair.m_idle_ms > 0.0) pairs.m_idle_ms[pair.m_serving] = pair.m_idle_ms;
+  }
+}
+
 void LearnPairs(ImagePairs& pairs, const ImageName& serving, const double base_load,
                 const double latency_ms, const std::vector<FillingLoad>& filling, const Time now) {
   const double load = LoadAt(latency_ms, IdleLatency(pairs, serving));
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -347,14 +347,6 @@
                              .m_figure = run.m_figure,
                              .m_order_known = run.m_order_known});
   }
-  if (report.m_session == 0) {
-    for (const auto& [images, pair] : agent.m_pairs.m_pairs) {
-      report.m_pairs.push_back({.m_serving = images.first,
-                                .m_filling = images.second,
-                                .m_extra = pair.m_extra,
-                                .m_idle_ms = IdleLatency(agent.m_pairs, images.first)});
-    }
-  }
   return report;
 }
 
@@ -373,11 +365,7 @@
   if (reply.m_grant > Duration{}) {
     agent.m_granted_until = std::max(agent.m_granted_until, sent + reply.m_grant);
   }
-  for (const auto& pair : reply.m_pairs) {
-    agent.m_pairs.m_pairs[{pair.m_serving, pair.m_filling}] = {.m_extra = pair.m_extra,
-                                                               .m_learned = sent};
-    if (pair.m_idle_ms > 0.0) agent.m_pairs.m_idle_ms[pair.m_serving] = pair.m_idle_ms;
-  }
+  Adopt(agent.m_pairs, reply.m_pairs, sent);
   if (reply.m_worker_born != agent.m_worker.m_born) return;
   agent.m_recorded_end = std::max(agent.m_recorded_end, reply.m_recorded_end);
   std::erase_if(agent.m_ends,
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -50,6 +50,9 @@
           return {.m_key = ProgressKey(record.m_job), .m_value = wire::Encode(record)};
         } else if constexpr (std::is_same_v<T, core::fleet::MemberRecord>) {
           return {.m_key = MemberKey(record.m_agent), .m_value = wire::Encode(record)};
+        } else if constexpr (std::is_same_v<T, core::fleet::ImagePairsRecord>) {
+          return {.m_key = std::string{core::fleet::kImagePairsKey},
+                  .m_value = wire::Encode(record)};
         } else {
           return {.m_key = record.m_key};
         }
@@ -206,6 +209,9 @@
   } else if (record.m_key.starts_with("member/")) {
     restore(core::Capture([&] { return wire::DecodeMember(record.m_value); }),
             [&](const auto& member) { core::fleet::Restore(m_state, member); });
+  } else if (record.m_key == core::fleet::kImagePairsKey) {
+    restore(core::Capture([&] { return wire::DecodeImagePairs(record.m_value); }),
+            [&](const auto& pairs) { core::fleet::Restore(m_state, BootNow(), pairs); });
   }
 }
 
--- a/packages/wire/include/ebonypin/wire/fleet_codec.h
+++ b/packages/wire/include/ebonypin/wire/fleet_codec.h
@@ -12,12 +12,14 @@
 [[nodiscard]] std::string Encode(const core::fleet::JobSpec& record);
 [[nodiscard]] std::string Encode(const core::fleet::JobProgress& record);
 [[nodiscard]] std::string Encode(const core::fleet::MemberRecord& record);
+[[nodiscard]] std::string Encode(const core::fleet::ImagePairsRecord& record);
 [[nodiscard]] std::string Encode(const core::fleet::CoordinatorRecord& record);
 
 /// Fail with kBadMessage when `bytes` are malformed.
 [[nodiscard]] core::Result<core::fleet::JobSpec> DecodeJobSpec(std::string_view bytes);
 [[nodiscard]] core::Result<core::fleet::JobProgress> DecodeJobProgress(std::string_view bytes);
 [[nodiscard]] core::Result<core::fleet::MemberRecord> DecodeMember(std::string_view bytes);
+[[nodiscard]] core::Result<core::fleet::ImagePairsRecord> DecodeImagePairs(std::string_view bytes);
 [[nodiscard]] core::Result<core::fleet::CoordinatorRecord> DecodeCoordinator(
     std::string_view bytes);
 
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -87,7 +87,6 @@
   worker @6 :WorkerInfo;
   runs @7 :List(RunStatus);
   ends @8 :List(RunEnded);
-  pairs @9 :List(ImagePair);
 }
 
 struct AgentReportReply {
@@ -161,6 +160,8 @@
 
 struct MemberRecord { agent @0 :Text; rpcAddress @1 :Text; }
 
+struct ImagePairsRecord { pairs @0 :List(ImagePair); }
+
 struct CoordinatorRecord {
   epoch @0 :UInt64;
   entry @1 :Text;
--- a/packages/wire/src/fleet_codec.cc
+++ b/packages/wire/src/fleet_codec.cc
@@ -49,6 +49,9 @@
 std::string Encode(const core::fleet::MemberRecord& record) {
   return EncodeAs<schema::fleet::MemberRecord>(record);
 }
+std::string Encode(const core::fleet::ImagePairsRecord& record) {
+  return EncodeAs<schema::fleet::ImagePairsRecord>(record);
+}
 std::string Encode(const core::fleet::CoordinatorRecord& record) {
   return EncodeAs<schema::fleet::CoordinatorRecord>(record);
 }
@@ -62,6 +65,9 @@
 core::Result<core::fleet::MemberRecord> DecodeMember(const std::string_view bytes) {
   return DecodeAs<schema::fleet::MemberRecord, core::fleet::MemberRecord>(bytes);
 }
+core::Result<core::fleet::ImagePairsRecord> DecodeImagePairs(const std::string_view bytes) {
+  return DecodeAs<schema::fleet::ImagePairsRecord, core::fleet::ImagePairsRecord>(bytes);
+}
 core::Result<core::fleet::CoordinatorRecord> DecodeCoordinator(const std::string_view bytes) {
   return DecodeAs<schema::fleet::CoordinatorRecord, core::fleet::CoordinatorRecord>(bytes);
 }
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -206,7 +206,6 @@
   Put(out.initWorker(), in.m_worker);
   PutList(out.initRuns(ListSize(in.m_runs)), in.m_runs);
   PutList(out.initEnds(ListSize(in.m_ends)), in.m_ends);
-  PutList(out.initPairs(ListSize(in.m_pairs)), in.m_pairs);
 }
 
 core::fleet::AgentReport Get(const schema::fleet::AgentReport::Reader in) {
@@ -218,8 +217,7 @@
           .m_runs_known = in.getRunsKnown(),
           .m_worker = Get(in.getWorker()),
           .m_runs = GetList<core::fleet::RunStatus>(in.getRuns()),
-          .m_ends = GetList<core::fleet::RunEnded>(in.getEnds()),
-          .m_pairs = GetList<core::fleet::ImagePair>(in.getPairs())};
+          .m_ends = GetList<core::fleet::RunEnded>(in.getEnds())};
 }
 
 void Put(schema::fleet::AgentReportReply::Builder out, const core::fleet::AgentReportReply& in) {
@@ -393,6 +391,14 @@
   return {.m_agent = {GetText(in.getAgent())}, .m_rpc_address = GetText(in.getRpcAddress())};
 }
 
+void Put(schema::fleet::ImagePairsRecord::Builder out, const core::fleet::ImagePairsRecord& in) {
+  PutList(out.initPairs(ListSize(in.m_pairs)), in.m_pairs);
+}
+
+core::fleet::ImagePairsRecord Get(const schema::fleet::ImagePairsRecord::Reader in) {
+  return {.m_pairs = GetList<core::fleet::ImagePair>(in.getPairs())};
+}
+
 void Put(schema::fleet::CoordinatorRecord::Builder out, const core::fleet::CoordinatorRecord& in) {
   out.setEpoch(in.m_epoch);
   out.setEntry(in.m_entry);
--- a/packages/wire/src/fleet_convert.h
+++ b/packages/wire/src/fleet_convert.h
@@ -47,6 +47,8 @@
 [[nodiscard]] core::fleet::JobProgress Get(schema::fleet::JobProgress::Reader in);
 void Put(schema::fleet::MemberRecord::Builder out, const core::fleet::MemberRecord& in);
 [[nodiscard]] core::fleet::MemberRecord Get(schema::fleet::MemberRecord::Reader in);
+void Put(schema::fleet::ImagePairsRecord::Builder out, const core::fleet::ImagePairsRecord& in);
+[[nodiscard]] core::fleet::ImagePairsRecord Get(schema::fleet::ImagePairsRecord::Reader in);
 void Put(schema::fleet::CoordinatorRecord::Builder out, const core::fleet::CoordinatorRecord& in);
 [[nodiscard]] core::fleet::CoordinatorRecord Get(schema::fleet::CoordinatorRecord::Reader in);
 
--- a/packages/wire/tests/codec_test.cc
+++ b/packages/wire/tests/codec_test.cc
@@ -54,6 +54,10 @@
     const core::fleet::MemberRecord member{.m_agent = {"agent-1"}, .m_rpc_address = "127.0.0.1:1"};
     const auto decoded = core::Capture([&] { return DecodeMember(Encode(member)); });
     CPPUNIT_ASSERT(decoded.Ok() && *decoded.m_value == member);
+    const core::fleet::ImagePairsRecord pairs{
+        .m_pairs = {{.m_serving = {"s"}, .m_filling = {"f"}, .m_extra = 0.5, .m_idle_ms = 4.0}}};
+    const auto learned = core::Capture([&] { return DecodeImagePairs(Encode(pairs)); });
+    CPPUNIT_ASSERT(learned.Ok() && *learned.m_value == pairs);
     const core::fleet::CoordinatorRecord office{
         .m_epoch = 1, .m_entry = "entry-1", .m_rpc_address = "127.0.0.1:1", .m_incarnation = 2};
     const auto read = core::Capture([&] { return DecodeCoordinator(Encode(office)); });
