Wait for a place with seven tenths of the processors

Change: a filling task waits while its best place leaves it less than 0.7 (0.35 before), unless nothing of its job runs.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -70,7 +70,7 @@
   /// Share that a filling task expects of a place that is worth a move.
   double m_good_share = 0.75;
   /// Share below which a filling task waits for a better place while others of its job run.
-  double m_least_share = 0.35;
+  double m_least_share = 0.7;
   /// A job without running tasks takes any place after this time.
   Duration m_patience = std::chrono::milliseconds{1500};
   /// An advice request without an answer is repeated after this time.
