--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -24,7 +24,6 @@
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/pacing.h"
 #include "ebonypin/core/fleet/records.h"
-#include "ebonypin/core/fleet/run_times.h"
 #include "ebonypin/core/fleet/worker_health.h"
 
 namespace ebonypin::core::fleet {
@@ -91,7 +90,6 @@
   std::uint32_t m_percent = 0;
   std::uint32_t m_stalls = 0;  ///< Runs that were stopped because they made no progress.
   bool m_stopping = false;
-  bool m_whole_run = false;  ///< The run began without a checkpoint and has not been slow.
   AgentId m_agent;            ///< Of the run in progress.
   std::uint64_t m_order = 0;  ///< Start order of the run in the agent's session; zero: adopted.
   Time m_placed;
@@ -226,7 +224,6 @@
   std::vector<AdviceRequest> m_advice_requests;
   std::vector<Decision> m_decisions;  ///< Since the driver took them last.
   CoordinatorCounters m_counters;
-  RunTimes m_run_times;
   ImagePairs m_pairs;
   bool m_pairs_changed = false;  ///< Since `m_pairs_written`.
   Time m_pairs_written;
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -63,8 +63,6 @@
     task.m_slow_since = {};
   } else if (task.m_slow_since == Time{}) {
     task.m_slow_since = now;
-    // The first figures of a run cover the time before its start.
-    if (now - task.m_placed > state.m_options.m_learn_interval) task.m_whole_run = false;
   }
 }
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -191,9 +191,6 @@
       if (run_time > Duration{} && !spec.m_fills) {
         OnSuccess(agent.m_health, now, run_time, spec.m_estimate, state.m_options.m_health);
       }
-      if (run_time > Duration{} && task->m_whole_run) {
-        LearnRunTime(state.m_run_times, job->m_spec.m_policy.m_queue, spec.m_estimate, run_time);
-      }
       if (spec.m_gang) {
         FinishGang(state, *job, end);
       } else {
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -16,12 +16,12 @@
   std::uint32_t m_occurrence = 0;
   std::uint32_t m_step = 0;
   std::uint32_t m_priority = 0;
-  std::uint32_t m_missed = 0;  ///< Objectives that it misses: none, its own, the late one too.
+  bool m_late = false;  ///< It misses even the late objective.
   Time m_latest_start;  ///< To meet the objective.
 };
 
-/// Returns the expected time of the longest chain of steps from `first` on.
-Duration ChainFrom(const Coordinator& state, const JobSpec& spec, const std::uint32_t first) {
+/// Returns the estimated time of the longest chain of steps from `first` on.
+Duration ChainFrom(const JobSpec& spec, const std::uint32_t first) {
   std::vector<Duration> until(spec.m_steps.size());
   Duration longest{};
   for (std::size_t step = first; step < spec.m_steps.size(); ++step) {
@@ -34,20 +34,16 @@
       before = std::max(before, until[earlier]);
     }
     if (!follows) continue;
-    const auto run_time =
-        ExpectedRunTime(state.m_run_times, spec.m_policy.m_queue, steps.m_estimate);
-    until[step] = before + std::max(run_time, Duration{1});
+    until[step] = before + std::max(steps.m_estimate, Duration{1});
     longest = std::max(longest, until[step]);
   }
   return longest;
 }
 
-Duration LongestChain(const Coordinator& state, const JobSpec& spec) {
+Duration LongestChain(const JobSpec& spec) {
   Duration longest{};
   for (std::uint32_t step = 0; step < spec.m_steps.size(); ++step) {
-    if (spec.m_steps[step].m_after.empty()) {
-      longest = std::max(longest, ChainFrom(state, spec, step));
-    }
+    if (spec.m_steps[step].m_after.empty()) longest = std::max(longest, ChainFrom(spec, step));
   }
   return longest;
 }
@@ -67,8 +63,7 @@
   }
 }
 
-void AddReady(const Coordinator& state, std::vector<ReadyStep>& ready, Job& job,
-              const Time now) {
+void AddReady(std::vector<ReadyStep>& ready, Job& job, const Time now) {
   for (const auto& [number, occurrence] : job.m_occurrences) {
     for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
       const auto& tasks = occurrence.m_steps[step].m_tasks;
@@ -82,27 +77,23 @@
       if (!waits || !IsStepReady(job.m_spec, occurrence, step)) continue;
       const auto& policy = job.m_spec.m_policy;
       const Duration due =
-          std::chrono::duration_cast<Duration>(policy.m_stretch * LongestChain(state, job.m_spec)) +
+          std::chrono::duration_cast<Duration>(policy.m_stretch * LongestChain(job.m_spec)) +
           policy.m_objective;
-      const Duration rest = ChainFrom(state, job.m_spec, step);
+      const Duration rest = ChainFrom(job.m_spec, step);
       const Time late = job.m_accepted + std::chrono::duration_cast<Duration>(kLateFactor * due);
-      const bool counts =
-          !job.m_spec.m_steps[step].m_long_running && job.m_spec.m_times == 0;
-      const std::uint32_t missed = !counts || now + rest <= job.m_accepted + due ? 0
-                                   : now + rest <= late                          ? 1
-                                                                                 : 2;
       ready.push_back({.m_job = &job,
                        .m_occurrence = number,
                        .m_step = step,
                        .m_priority = policy.m_priority,
-                       .m_missed = missed,
+                       .m_late = !job.m_spec.m_steps[step].m_long_running &&
+                                 job.m_spec.m_times == 0 && now + rest > late,
                        .m_latest_start = job.m_accepted + due - rest});
     }
   }
 }
 
 bool ComesBefore(const ReadyStep& a, const ReadyStep& b) {
-  if (a.m_missed != b.m_missed) return a.m_missed < b.m_missed;
+  if (a.m_late != b.m_late) return b.m_late;
   if (a.m_priority != b.m_priority) return a.m_priority < b.m_priority;
   return a.m_latest_start < b.m_latest_start;
 }
@@ -112,7 +103,6 @@
   task.m_run = run;
   task.m_agent = agent.m_id;
   task.m_placed = task.m_progressed = now;
-  task.m_whole_run = task.m_checkpoint.empty() && !need.m_spec.m_long_running;
   Order order{.m_number = agent.m_next_order++};
   order.m_start = OrderFor(need.m_job, need.m_ref, task);
   const auto ticket = need.m_step.m_tickets.find(agent.m_worker.m_id);
@@ -262,7 +252,7 @@
     OpenDue(job, wall);
     // A task of an inherited job may run at a member that has not reported yet.
     if (job.m_inherited && !state.m_silent_members.empty()) continue;
-    AddReady(state, ready, job, now);
+    AddReady(ready, job, now);
   }
   std::stable_sort(ready.begin(), ready.end(), ComesBefore);
   for (const auto& step : ready) {
