Keep the office when the group deals the partition to a returning entry

Cause: the store's group deals the coordinator's partition anew whenever an entry joins, and the coordinator released it at once.

Change: a coordinator in office joins on with its former generation, which does not release the partition. Its authority rests on the fenced empty append, as before. Removed on the way: the second copy of the authority setting, an unused flag, and a plain value that two threads shared.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -35,8 +35,6 @@
   /// Added before runs of a silent agent count as ended: 2 % clock rate error of the worker and of
   /// the agent over the grant, and the steps of both timers.
   Duration m_lapse_slack = std::chrono::milliseconds{600};
-  /// Time for which a coordinator acts without the store; its successor waits for it.
-  Duration m_authority = std::chrono::seconds{10};
   /// Time for which the state of a closed job is kept. Callers may ask for 120 s.
   Duration m_keep_closed = std::chrono::seconds{150};
   /// Jobs kept at once, closed ones included; about 2 KB each.
@@ -131,7 +129,6 @@
   bool m_closed = false;
   JobPhase m_phase = JobPhase::kQueued;  ///< Decided.
   JobPhase m_shown = JobPhase::kQueued;  ///< Recorded, so that no later coordinator contradicts it.
-  bool m_cancel_recorded = false;
 };
 
 /// Run at an agent, as it counts against the worker's capacity.
--- a/packages/core/include/ebonypin/core/fleet/leadership.h
+++ b/packages/core/include/ebonypin/core/fleet/leadership.h
@@ -37,11 +37,13 @@
   kNone,
   kClaim,
   kRelease,  ///< Join again at once, which releases the partition.
+  kKeep,     ///< Join on with the former generation, which does not release the partition.
 };
 
-/// Takes the answer to a join that was sent at `sent`. An entry that no longer holds the partition
-/// stays in office until its successor's epoch is known, so that a partition that moves leaves no
-/// gap; the join is what lets the successor have it.
+/// Takes the answer to a join that was sent at `sent`. A coordinator in office does not release the
+/// partition when the group deals it to another member, such as an entry that came back: a change
+/// of coordinator costs up to half a second. When the partition was moved all the same, it stays in
+/// office until its successor's epoch is known.
 [[nodiscard]] LeadershipStep OnJoined(Leadership& state, Time sent, bool holds_partition) noexcept;
 
 /// Takes the news that an entry with a larger epoch exists. Returns whether the office ends by it.
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -101,9 +101,11 @@
                [this, events = m_events, sent](core::Captured<platform::GroupReply> reply) {
                  events->Post([this, sent, reply = std::move(reply)] {
                    if (m_leaving || !reply.Ok()) return;
-                   m_generation = reply.m_value->m_generation;
-                   switch (OnJoined(m_leadership, sent, reply.m_value->m_holds_first)) {
+                   const auto step = OnJoined(m_leadership, sent, reply.m_value->m_holds_first);
+                   if (step != LeadershipStep::kKeep) m_generation = reply.m_value->m_generation;
+                   switch (step) {
                      case LeadershipStep::kNone:
+                     case LeadershipStep::kKeep:
                        return;
                      case LeadershipStep::kClaim:
                        return Claim();
@@ -222,7 +224,7 @@
   // A predecessor on this machine ended before this process began.
   const bool same_place = previous.m_rpc_address == m_options.m_rpc_address;
   const auto authority =
-      previous.m_epoch == 0 || same_place ? core::Duration{} : options.m_authority;
+      previous.m_epoch == 0 || same_place ? core::Duration{} : m_options.m_leadership.m_authority;
   FinishRestore(m_state, now, now + authority + grants_end);
   m_leadership.m_stage = LeadershipStage::kActive;
   Learn(m_leadership.m_epoch, m_options.m_rpc_address);
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -151,13 +151,13 @@
   }
 
   void BeginDrain() override {
-    m_draining = true;
     m_drain_end = BootNow() + kDrainNotice;
+    m_draining = true;
     m_events->Post([this] { m_coordinator->Leave(); });
   }
 
   [[nodiscard]] bool IsDrained() const override {
-    return m_draining && BootNow() >= m_drain_end && m_in_progress == 0;
+    return m_draining && BootNow() >= m_drain_end.load() && m_in_progress == 0;
   }
 
  private:
@@ -310,7 +310,7 @@
   core::fleet::QueueTable m_queues;
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_draining{false};
-  core::Time m_drain_end;
+  std::atomic<core::Time> m_drain_end{};
   std::atomic<std::int64_t> m_in_progress{0};
 };
 
