--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -141,9 +141,10 @@
   std::vector<RunEnded> m_ends;
   std::uint64_t m_recorded_end = 0;
   std::map<ImageName, Pacing> m_pacings;  ///< Of the filling images there.
-  Time m_missed_since;  ///< Since when a serving task misses its target; epoch: none does.
-  ImagePairs m_pairs;   ///< As the coordinator learned them.
-  Time m_based;         ///< When the bases of the serving runs were last updated.
+  double m_worst_ratio = 0.0;  ///< Largest latency of a serving run, divided by its target.
+  Time m_missed_since;         ///< Since when a serving task misses its target; epoch: none does.
+  ImagePairs m_pairs;          ///< As the coordinator learned them.
+  Time m_based;                ///< When the bases of the serving runs were last updated.
   std::map<ImageName, double> m_filling_cores;  ///< In use then, by filling image.
   bool m_hold_in_flight = false;
   Time m_next_hold;
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -176,6 +176,7 @@
     }
   }
   std::vector<ImagePair> known;
+  known.reserve(pairs.size());
   for (auto& [images, pair] : pairs) known.push_back(std::move(pair));
   return known;
 }
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -149,6 +149,7 @@
     ratios.push_back(run.m_figure / target);
     missed = missed || run.m_figure >= target;
   }
+  agent.m_worst_ratio = ratios.empty() ? 0.0 : *std::max_element(ratios.begin(), ratios.end());
   if (!missed) {
     agent.m_missed_since = {};
   } else if (agent.m_missed_since == Time{}) {
--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -91,6 +91,7 @@
 inline const Event kHeartbeatRefused = DefineEvent(621, EventLevel::kWarn, "heartbeat refused");
 inline const Event kGrantState = DefineEvent(622, EventLevel::kInfo, "grant state changed");
 inline const Event kFillersPaced = DefineEvent(623, EventLevel::kInfo, "filling tasks paced");
+inline const Event kShareChanged = DefineEvent(624, EventLevel::kInfo, "run share changed");
 // clang-format on
 
 /// Returns every defined event, ordered by number.
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -212,7 +212,10 @@
   void Pump() {
     const auto now = BootNow();
     if (const auto hold = NextHold(m_agent, now)) SendHold(*hold, now);
-    for (const auto& call : NextCalls(m_agent, now)) SendCall(call);
+    for (const auto& call : NextCalls(m_agent, now)) {
+      if (call.m_kind == RunCallKind::kPace) LogShare(call, now);
+      SendCall(call);
+    }
     const bool rest = core::fleet::MustRest(m_agent.m_missed_since, now);
     if (rest != m_resting) {
       m_resting = rest;
@@ -257,6 +260,21 @@
                          {"number", end.m_number}});
   }
 
+  /// Logs a changed share; repeats of one that may have been lost are left out.
+  void LogShare(const RunCall& call, const core::Time now) {
+    const auto run = m_agent.m_runs.find(call.m_order.m_task);
+    if (run == m_agent.m_runs.end() || run->second.m_paced == call.m_percent) return;
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_agent.m_clock_at);
+    LogEvent(kShareChanged, {{"task", TaskText(call.m_order.m_task)},
+                             {"run", call.m_order.m_run},
+                             {"from", run->second.m_paced},
+                             {"percent", call.m_percent},
+                             {"image", call.m_order.m_image.m_value},
+                             {"worst", m_agent.m_worst_ratio},
+                             {"age_ms", age.count()}});
+  }
+
   void SendCall(const RunCall& call) {
     m_worker->Call(
         Target(), call,
