Give up an office without authority

Cause, found while reading the change that keeps the office: a coordinator whose joins reach the store but whose fenced appends do not would keep the partition and serve nobody.

The policy test covers it and failed first.

--- a/packages/core/include/ebonypin/core/fleet/leadership.h
+++ b/packages/core/include/ebonypin/core/fleet/leadership.h
@@ -43,7 +43,8 @@
 /// Takes the answer to a join that was sent at `sent`. A coordinator in office does not release the
 /// partition when the group deals it to another member, such as an entry that came back: a change
 /// of coordinator costs up to half a second. When the partition was moved all the same, it stays in
-/// office until its successor's epoch is known.
+/// office until its successor's epoch is known. One whose authority has ended releases the
+/// partition, since it could serve nobody.
 [[nodiscard]] LeadershipStep OnJoined(Leadership& state, Time sent, bool holds_partition) noexcept;
 
 /// Takes the news that an entry with a larger epoch exists. Returns whether the office ends by it.
--- a/packages/core/src/fleet/image_pairs.cc
+++ b/packages/core/src/fleet/image_pairs.cc
@@ -9,7 +9,8 @@
 
 /// Growth of the utilisation by one processor before anything was measured.
 constexpr double kPrior = 0.12;
-/// Half-life of the distance from the prior: no pair of the recorded days changed within a minute.
+/// Half-life of the distance from the prior. Long against a burst, so that a pair that was not seen
+/// for a while need not be learned again.
 constexpr auto kHalfLife = std::chrono::minutes{5};
 /// Three half-lives: little is left of the distance from the prior.
 constexpr auto kForgetAfter = std::chrono::minutes{15};
--- a/packages/core/src/fleet/leadership.cc
+++ b/packages/core/src/fleet/leadership.cc
@@ -7,7 +7,8 @@
 
 LeadershipStep OnJoined(Leadership& state, const Time sent, const bool holds_partition) noexcept {
   if (!holds_partition) {
-    if (state.m_stage == LeadershipStage::kActive) return LeadershipStep::kKeep;
+    const bool may_act = sent - state.m_confirmed < state.m_options.m_authority;
+    if (state.m_stage == LeadershipStage::kActive && may_act) return LeadershipStep::kKeep;
     const bool released = std::exchange(state.m_released, true);
     return state.m_stage == LeadershipStage::kFollower || released ? LeadershipStep::kNone
                                                                    : LeadershipStep::kRelease;
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -34,8 +34,12 @@
     CPPUNIT_ASSERT(OnJoined(state, Time{2s}, false) == LeadershipStep::kKeep);
     CPPUNIT_ASSERT(OnJoined(state, Time{2s}, false) == LeadershipStep::kKeep);
     CPPUNIT_ASSERT(MayAct(state, Time{3s}));
-    // An answer without the partition confirms nothing.
-    CPPUNIT_ASSERT(!MayAct(state, Time{1s} + state.m_options.m_authority));
+    // An answer without the partition confirms nothing, and an office without authority is given
+    // up.
+    const Time end = Time{1s} + state.m_options.m_authority;
+    CPPUNIT_ASSERT(!MayAct(state, end));
+    CPPUNIT_ASSERT(OnJoined(state, end, false) == LeadershipStep::kRelease);
+    CPPUNIT_ASSERT(OnJoined(state, end, false) == LeadershipStep::kNone);
     CPPUNIT_ASSERT(!IsDeposedBy(state, 3));
     CPPUNIT_ASSERT(IsDeposedBy(state, 4));
   }
