Move filling tasks that get less than six tenths of their processors

Cause: with shares planned to 0.7 and more, a task that gets half is already late for its job, but only those under 0.4 were moved.

Change: the share under which a filling task is slow, 0.4 to 0.6.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -62,7 +62,7 @@
   /// resume, about half a second.
   Duration m_move_after = std::chrono::milliseconds{1000};
   /// Share of its processors, as used over half a second, below which a filling task is slow.
-  double m_slow_share = 0.4;
+  double m_slow_share = 0.6;
   /// Progress up to which a task without checkpoints is moved; it starts anew.
   std::uint32_t m_movable_percent = 20;
   /// Share that a filling task expects of a place that is worth a move.
