Replace a silent coordinator after 1.1 s; keep to the store's least

Besides, the store's least membership (1 s on these sites) was not read: a store with a larger one than ours would refuse every join.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -35,7 +35,9 @@
   std::uint32_t m_max_appends_per_second = 100;
 
   // [store] and [advice], fleet roles only
-  std::string m_store_url;   ///< Base URL of the platform's store.
+  std::string m_store_url;  ///< Base URL of the platform's store.
+  /// Shortest time that the store allows a silent member to stay in a group.
+  core::Duration m_store_shortest_membership = std::chrono::seconds{1};
   std::string m_advice_url;  ///< Base URL of the advice service; empty: none.
 
   // [worker], agents only
--- a/packages/core/include/ebonypin/core/fleet/leadership.h
+++ b/packages/core/include/ebonypin/core/fleet/leadership.h
@@ -14,11 +14,12 @@
 namespace ebonypin::core::fleet {
 
 struct LeadershipOptions {
-  /// Membership ends when nothing was sent for this long; the store allows 1 s or more. Bounds the
-  /// takeover from an entry that died.
-  Duration m_ttl = std::chrono::milliseconds{1500};
+  /// Membership ends when nothing was sent for this long; the store allows 1 s or more, and its own
+  /// least counts when that is longer. Bounds the takeover from an entry that died or that the
+  /// store turns away, in which nothing is accepted or started.
+  Duration m_ttl = std::chrono::milliseconds{1100};
   /// Between two joins: three fit into the membership's time limit.
-  Duration m_join_interval = std::chrono::milliseconds{400};
+  Duration m_join_interval = std::chrono::milliseconds{300};
   /// For how long a coordinator acts after its last confirmation by the store.
   Duration m_authority = std::chrono::seconds{10};
 };
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -121,13 +121,15 @@
             Serve(message, std::move(reply));
           });
         }});
-    m_coordinator = std::make_unique<CoordinatorService>(
-        m_events, *m_store, *m_rpc, m_advice.get(),
-        CoordinatorServiceOptions{.m_entry = m_settings.m_id,
-                                  .m_rpc_address = m_settings.m_rpc_address,
-                                  .m_incarnation = NewIncarnation(),
-                                  .m_jobs_topic = m_platform.m_jobs_topic,
-                                  .m_coordinator_topic = m_platform.m_coordinator_topic});
+    CoordinatorServiceOptions options{.m_entry = m_settings.m_id,
+                                      .m_rpc_address = m_settings.m_rpc_address,
+                                      .m_incarnation = NewIncarnation(),
+                                      .m_jobs_topic = m_platform.m_jobs_topic,
+                                      .m_coordinator_topic = m_platform.m_coordinator_topic};
+    auto& ttl = options.m_leadership.m_ttl;
+    ttl = std::max(ttl, m_settings.m_store_shortest_membership);
+    m_coordinator = std::make_unique<CoordinatorService>(m_events, *m_store, *m_rpc, m_advice.get(),
+                                                         std::move(options));
     m_router = std::make_unique<CallRouter>(m_events, *m_rpc, *m_coordinator);
     WatchConfig();
     m_coordinator_watch = WatchCoordinator(
