--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -4,7 +4,6 @@
 #include <memory>
 #include <utility>
 
-#include "../address.h"
 #include "../http_threads.h"
 #include "boot_clock.h"
 #include "ebonypin/core/fleet/worker_agent.h"
@@ -103,7 +102,6 @@
 
   void Start() override {
     LimitHttpThreads(kHttpThreads);
-    const auto address = ParseAddress(m_settings.m_rpc_address, "process.rpc");
     m_agent.m_id = {m_settings.m_id};
     m_agent.m_rpc_address = m_settings.m_rpc_address;
     m_agent.m_options.m_longest_lease = m_settings.m_longest_lease;
@@ -113,24 +111,17 @@
     Begin(m_agent, BootNow());
     m_store = m_platform.m_store(m_settings.m_store_url);
     m_worker = m_platform.m_worker(m_settings.m_worker_url);
-    m_rpc = std::make_unique<wire::Rpc>(wire::RpcOptions{
-        .m_listen_ip = address.m_ip,
-        .m_listen_port = address.m_port,
-        .m_handler = [this](const core::Message& message, wire::ReplyFunction reply) {
-          m_events->Post([this, message, reply = std::move(reply)]() mutable {
-            Serve(message, std::move(reply));
-          });
-        }});
+    m_rpc = StartRpc(m_settings, m_events,
+                     [this](const core::Message& message, wire::ReplyFunction reply) {
+                       Serve(message, std::move(reply));
+                     });
     m_control = m_platform.m_control(m_settings.m_control_address, Handlers());
     m_coordinator_watch =
         WatchCoordinator(m_events, *m_store, m_platform.m_coordinator_topic, kCoordinatorWait,
                          [this](const auto& record) { Learn(record); });
     m_events->Every(kTickInterval, [this] { OnTick(); });
     m_events->Every(kMetricsInterval, [this] { UpdateMetrics(); });
-    if (!m_settings.m_metrics_address.empty()) {
-      m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address,
-                                                  [this] { return m_counters.Read(*m_rpc); });
-    }
+    m_metrics = StartMetrics(m_settings, m_counters, *m_rpc);
   }
 
   /// Leases outlast a restart, so nothing has to be handed over.
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -108,19 +108,14 @@
 
   void Start() override {
     LimitHttpThreads(kHttpThreads);
-    const auto address = ParseAddress(m_settings.m_rpc_address, "process.rpc");
     m_store = m_platform.m_store(m_settings.m_store_url);
     if (!m_settings.m_advice_url.empty()) {
       m_advice = m_platform.m_advice(m_settings.m_advice_url);
     }
-    m_rpc = std::make_unique<wire::Rpc>(wire::RpcOptions{
-        .m_listen_ip = address.m_ip,
-        .m_listen_port = address.m_port,
-        .m_handler = [this](const core::Message& message, wire::ReplyFunction reply) {
-          m_events->Post([this, message, reply = std::move(reply)]() mutable {
-            Serve(message, std::move(reply));
-          });
-        }});
+    m_rpc = StartRpc(m_settings, m_events,
+                     [this](const core::Message& message, wire::ReplyFunction reply) {
+                       Serve(message, std::move(reply));
+                     });
     CoordinatorServiceOptions options{.m_entry = m_settings.m_id,
                                       .m_rpc_address = m_settings.m_rpc_address,
                                       .m_incarnation = NewIncarnation(),
@@ -146,10 +141,7 @@
         });
     m_readiness = m_platform.m_readiness(m_settings.m_readiness_address,
                                          [this] { return m_ready && !m_draining; });
-    if (!m_settings.m_metrics_address.empty()) {
-      m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address,
-                                                  [this] { return m_counters.Read(*m_rpc); });
-    }
+    m_metrics = StartMetrics(m_settings, m_counters, *m_rpc);
   }
 
   void BeginDrain() override {
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -3,6 +3,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "../address.h"
 #include "../rpc_metrics.h"
 #include "ebonypin/daemon/events.h"
 #include "ebonypin/wire/fleet_codec.h"
@@ -84,6 +85,28 @@
   return metrics;
 }
 
+std::unique_ptr<wire::Rpc> StartRpc(
+    const config::Settings& settings, const std::shared_ptr<EventThread>& events,
+    std::function<void(const core::Message&, wire::ReplyFunction)> serve) {
+  const auto address = ParseAddress(settings.m_rpc_address, "process.rpc");
+  return std::make_unique<wire::Rpc>(
+      wire::RpcOptions{.m_listen_ip = address.m_ip,
+                       .m_listen_port = address.m_port,
+                       .m_handler = [events, serve = std::move(serve)](const core::Message& message,
+                                                                       wire::ReplyFunction reply) {
+                         events->Post([serve, message, reply = std::move(reply)]() mutable {
+                           serve(message, std::move(reply));
+                         });
+                       }});
+}
+
+std::unique_ptr<MetricsServer> StartMetrics(const config::Settings& settings,
+                                            const FleetCounters& counters, const wire::Rpc& rpc) {
+  if (settings.m_metrics_address.empty()) return nullptr;
+  return std::make_unique<MetricsServer>(settings.m_metrics_address,
+                                         [&counters, &rpc] { return counters.Read(rpc); });
+}
+
 const platform::UsersPlatform& RequirePlatform() {
   const auto* const platform = platform::GetUsersPlatform();
   if (platform == nullptr) {
--- a/packages/daemon/src/fleet/fleet_parts.h
+++ b/packages/daemon/src/fleet/fleet_parts.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/config/settings.h"
 #include "ebonypin/core/fleet/records.h"
 #include "ebonypin/daemon/metrics.h"
 #include "ebonypin/platform/users_platform.h"
@@ -45,6 +46,17 @@
   std::uint64_t m_count = 0;
 };
 
+/// Starts the RPC of a fleet role; `serve` runs on `events`. Throws std::exception when the address
+/// cannot be used.
+[[nodiscard]] std::unique_ptr<wire::Rpc> StartRpc(
+    const config::Settings& settings, const std::shared_ptr<EventThread>& events,
+    std::function<void(const core::Message&, wire::ReplyFunction)> serve);
+
+/// Starts to serve the metrics; returns null when the settings name no address for them.
+[[nodiscard]] std::unique_ptr<MetricsServer> StartMetrics(const config::Settings& settings,
+                                                          const FleetCounters& counters,
+                                                          const wire::Rpc& rpc);
+
 /// Returns the platform. Throws std::runtime_error when the program was built without one.
 [[nodiscard]] const platform::UsersPlatform& RequirePlatform();
 
