Keep the platform's formats out of the fleet scenarios

Cause: fleet_site.cc named a topic, a call and the framing of records of the users' platform, and wrote their JSON by hand.

Change: the store's stand-in takes a record by its faults call; the texts that callers and operators send stand beside the stand-ins; topic and key come from the platform plug-in. The scenarios' checks are unchanged.

--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -1,12 +1,13 @@
 #include "fleet_site.h"
 
-#include <fmt/format.h>
 #include <gflags/gflags.h>
 
 #include <stdexcept>
 #include <utility>
 
 #include "ebonypin/config/settings.h"
+#include "ebonypin/platform/users_platform.h"
+#include "ebonypin/standin/users_messages.h"
 
 DECLARE_string(run_worker_control);
 DECLARE_string(run_worker_id);
@@ -14,19 +15,6 @@
 namespace ebonypin::daemon {
 namespace {
 
-constexpr auto kConfigTopic = "keyed.op";
-
-web::http::http_response Post(const std::string& address, const std::string& path,
-                              const std::vector<unsigned char>& body) {
-  web::http::client::http_client client("http://" + address);
-  web::http::http_request request(web::http::methods::POST);
-  request.set_request_uri(path);
-  request.set_body(body);
-  return client.request(request).get();
-}
-
-std::vector<unsigned char> Bytes(const std::string& text) { return {text.begin(), text.end()}; }
-
 std::string GetText(const std::string& address, const std::string& path) {
   try {
     web::http::client::http_client client("http://" + address);
@@ -114,13 +102,11 @@
 HttpResult FleetSite::Submit(const std::size_t entry, const std::string& id,
                              const std::string& payload, const int count) const {
   return Call(entry, "POST", "/renders/" + id,
-              fmt::format(R"({{"Spec":"{}","Steps":[{{"Count":{},"Cpu":500,"MemMb":10,)"
-                          R"("EstMs":100,"LongRunning":{}}}]}})",
-                          payload, count, payload == "last"));
+              standin::UsersJob(payload, count, payload == "last"));
 }
 
 std::string FleetSite::StateOf(const std::size_t entry, const std::string& id) const {
-  return Call(entry, "GET", "/renders/" + id).Text("State");
+  return Call(entry, "GET", "/renders/" + id).Text(standin::kUsersJobState);
 }
 
 int FleetSite::Starts() const {
@@ -136,7 +122,7 @@
 }
 
 void FleetSite::StoreFaults(const std::string& json) const {
-  (void)Post(m_store_address, "/faults", Bytes(json));
+  (void)SendHttp(m_store_address, "POST", "/faults", json);
 }
 
 void FleetSite::WorkerFaults(const std::size_t worker, const std::string& json) const {
@@ -144,18 +130,14 @@
 }
 
 void FleetSite::PutConfig(const int version, const std::string& prefix) const {
-  const auto config = fmt::format(
-      R"({{"Version":{},"Routes":[{{"Name":"renders","Host":"127.0.0.1","PathPrefix":"{}",)"
-      R"("TimeoutMs":3000,"SloMs":300,"Service":"desk","Attempts":3,"Stretch":2.0}}],)"
-      R"("Services":[],"Limits":{{"MaxBodyBytes":10000}}}})",
-      version, prefix);
-  const std::string record = std::string(1, '\x06') + "config" + config;
-  std::string frame;
-  for (int shift = 24; shift >= 0; shift -= 8) {
-    frame += static_cast<char>(record.size() >> static_cast<unsigned>(shift) & 0xffU);
-  }
-  (void)Post(m_store_address, fmt::format("/log-append?Topic={}&part=0", kConfigTopic),
-             Bytes(frame + record));
+  const auto& platform = *platform::GetUsersPlatform();
+  auto record = web::json::value::object();
+  record["topic"] = web::json::value::string(platform.m_config_topic);
+  record["key"] = web::json::value::string(platform.m_config_key);
+  record["value"] = web::json::value::string(standin::UsersConfig(version, prefix));
+  auto faults = web::json::value::object();
+  faults["put"] = std::move(record);
+  StoreFaults(faults.serialize());
 }
 
 std::size_t FleetSite::Coordinator() const {
--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -6,6 +6,8 @@
 ///     POST /faults {"down": true}            everything is refused with 503
 ///                  {"lose_answers": n}       the next n appends are done and not answered
 ///                  {"drop_history": true}    only the newest record of each key stays
+///                  {"put": {"topic": t, "key": k, "value": v}}    appends a record, as operators
+///                  do
 #include <cpprest/http_listener.h>
 
 #include <condition_variable>
@@ -136,9 +138,17 @@
     if (json.has_field("drop_history")) {
       for (auto& [topic, log] : m_topics) log.DropHistory();
     }
+    if (json.has_field("put")) Put(json.at("put"));
     request.reply(status_codes::OK);
   }
 
+  void Put(const value& json) {
+    const auto& key = json.at("key").as_string();
+    const auto record =
+        std::string(1, static_cast<char>(key.size())) + key + json.at("value").as_string();
+    (void)m_topics[json.at("topic").as_string()].Append({.m_records = {{record}}});
+  }
+
   void Append(const http_request& request, const Query& query,
               const std::vector<unsigned char>& body) {
     AppendCall call{.m_records = SplitFrames(body),
