Look up each pair of images once per decision

Cause: AllowedShares, which runs with every answer of a worker, looked each pair up three times, and ExpectedShare twice; a lookup copies two names.

Change: the growths are computed once and kept for the decision. Results are the same.

--- a/packages/core/src/fleet/expected_share.cc
+++ b/packages/core/src/fleet/expected_share.cc
@@ -38,12 +38,12 @@
     double left = room;
     double wanted = extra * Cores(need.m_spec.m_size);
     for (const auto& [other, cores] : filling) {
-      const double taken = cores * ExtraPerCore(pairs, serving, other, now);
+      const double other_extra = ExtraPerCore(pairs, serving, other, now);
       // The agent serves the less disturbing images first.
       if (other == image) {
-        wanted += taken;
-      } else if (ExtraPerCore(pairs, serving, other, now) < extra) {
-        left -= taken;
+        wanted += cores * other_extra;
+      } else if (other_extra < extra) {
+        left -= cores * other_extra;
       }
     }
     if (wanted > left) share = std::min(share, std::max(left, 0.0) / wanted);
--- a/packages/core/src/fleet/pacing.cc
+++ b/packages/core/src/fleet/pacing.cc
@@ -54,14 +54,16 @@
   for (const auto& task : serving) left.push_back(RoomToGrow(pairs, task, options));
   struct Candidate {
     ImageName m_image;
-    double m_cores = 0.0;
+    std::vector<double> m_extra;  ///< Growth of each serving task by all processors of the image.
     double m_harm = 0.0;  ///< Largest part of a serving task's room that one processor takes.
   };
   std::vector<Candidate> candidates;
   for (const auto& [image, cores] : full_cores) {
-    Candidate candidate{.m_image = image, .m_cores = cores};
+    Candidate candidate{.m_image = image};
+    candidate.m_extra.reserve(serving.size());
     for (std::size_t i = 0; i < serving.size(); ++i) {
       const double extra = ExtraPerCore(pairs, serving[i].m_image, image, now);
+      candidate.m_extra.push_back(extra * cores);
       candidate.m_harm = std::max(candidate.m_harm, extra / std::max(left[i], 1e-3));
     }
     candidates.push_back(std::move(candidate));
@@ -72,14 +74,10 @@
   for (const auto& candidate : candidates) {
     double share = 1.0;
     for (std::size_t i = 0; i < serving.size(); ++i) {
-      const double full =
-          ExtraPerCore(pairs, serving[i].m_image, candidate.m_image, now) * candidate.m_cores;
-      if (full > left[i]) share = std::min(share, left[i] / full);
+      if (candidate.m_extra[i] > left[i]) share = std::min(share, left[i] / candidate.m_extra[i]);
     }
     for (std::size_t i = 0; i < serving.size(); ++i) {
-      left[i] -= ExtraPerCore(pairs, serving[i].m_image, candidate.m_image, now) *
-                 candidate.m_cores * share;
-      left[i] = std::max(left[i], 0.0);
+      left[i] = std::max(left[i] - candidate.m_extra[i] * share, 0.0);
     }
     shares[candidate.m_image] = share;
   }
