Split the coordinator's office and its takeover tests; share test jobs

Change: taking, confirming and losing the office stand in coordinator_office.cc, the takeover tests in coordinator_takeover_test.cc, the jobs in fleet_fixture.h.

--- /dev/null
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -0,0 +1,159 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "ebonypin/core/fleet/coordinator.h"
+#include "fleet_fixture.h"
+
+namespace ebonypin::core::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A coordinator that takes over.
+class CoordinatorTakeoverTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CoordinatorTakeoverTest);
+  CPPUNIT_TEST(InheritedWorkWaitsForSilentMembers);
+  CPPUNIT_TEST(ListedRunsAreAdopted);
+  CPPUNIT_TEST(ARestartedAgentIsToldWhatItsRunsAre);
+  CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
+  CPPUNIT_TEST(RecordedProgressIsRestored);
+  CPPUNIT_TEST(LearnedPairsOutliveTheirCoordinator);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against a second run of a task that still runs at an agent which the new coordinator
+  /// cannot reach.
+  void InheritedWorkWaitsForSilentMembers() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    Restore(site.m_state, site.m_now, MakeJob("old"));
+    Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
+    FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
+    site.Join("b");
+    site.Accept(MakeJob("new"));
+    const auto starts = site.Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string{"new"}, starts[0].second.m_task.m_job.m_value);
+    site.Pass(15s);
+    Tick(site.m_state, site.m_now, site.m_wall);
+    site.Join("b");
+    CPPUNIT_ASSERT(site.m_state.m_silent_members.empty());
+    const auto later = site.Starts();
+    CPPUNIT_ASSERT(std::any_of(later.begin(), later.end(), [](const auto& start) {
+      return start.second.m_task == Ref("old") && start.second.m_run > 4096;
+    }));
+  }
+
+  /// Guards against running work that a takeover stops or doubles.
+  void ListedRunsAreAdopted() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    Restore(site.m_state, site.m_now, MakeJob("j"));
+    Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
+    FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
+    auto report = site.Report("a");
+    report.m_runs = {{.m_task = Ref("j"), .m_run = 3, .m_percent = 40}};
+    (void)OnReport(site.m_state, site.m_now, report);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    CPPUNIT_ASSERT(site.Stops().empty());
+    (void)site.End("a", 9, Ref("j"), 3, RunOutcome::kDone);
+    site.Write();
+    CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kDone);
+  }
+
+  void ARestartedAgentIsToldWhatItsRunsAre() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeServingJob("watch", 1, {"search"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    auto report = site.Report("a");
+    report.m_session = 0;
+    report.m_last_order = 0;
+    report.m_runs = {{.m_task = Ref("watch"), .m_run = 1, .m_order_known = false}};
+    (void)OnReport(site.m_state, site.m_now, report);
+    report.m_session = site.m_state.m_agents.at({"a"}).m_session;
+    (void)OnReport(site.m_state, site.m_now, report);
+    const auto& orders = site.m_state.m_agents.at({"a"}).m_orders;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+    CPPUNIT_ASSERT(orders[0].m_kind == OrderKind::kDescribe);
+    CPPUNIT_ASSERT(orders[0].m_start.m_latency_target == 18ms);
+    CPPUNIT_ASSERT_EQUAL(std::string{"search"}, orders[0].m_start.m_image.m_value);
+  }
+
+  /// Guards against a fourth failure that goes uncounted because a later run's end was reported
+  /// first, by another agent (found on a day with a store outage and a change of coordinator).
+  void EndsOfSeveralRunsCountInAnyOrder() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    Restore(site.m_state, site.m_now, MakeJob("j"));
+    Restore(site.m_state, JobProgress{.m_job = {"j"}, .m_tasks = {{.m_failures = 1, .m_run = 1}}});
+    FinishRestore(site.m_state, site.m_now, site.m_now);
+    (void)site.End("a", 4, Ref("j"), 3, RunOutcome::kFailed);
+    (void)site.End("b", 2, Ref("j"), 2, RunOutcome::kFailed);
+    (void)site.End("b", 2, Ref("j"), 2, RunOutcome::kFailed);
+    site.Write();
+    CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kFailed);
+    CPPUNIT_ASSERT(site.Starts().empty());
+  }
+
+  /// Guards against a takeover, or a loss of all power, after which filling tasks disturb serving
+  /// ones until it is learned again (association's days with a rolling restart or a power loss).
+  void LearnedPairsOutliveTheirCoordinator() {
+    Site before;
+    before.Join("a");
+    NoteLatency(before.m_state.m_pairs, {"watch"}, 4.0);
+    before.m_state.m_pairs.m_pairs[{{"watch"}, {"press"}}] = {.m_extra = 2.5,
+                                                              .m_learned = before.m_now};
+    before.m_state.m_pairs_changed = true;
+    Tick(before.m_state, before.m_now, before.m_wall);
+    Site after;
+    after.m_state.m_epoch = 2;
+    for (const auto& change : TakeWrites(before.m_state, before.m_wall).m_records) {
+      if (const auto* const pairs = std::get_if<ImagePairsRecord>(&change)) {
+        Restore(after.m_state, after.m_now, *pairs);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(2.5,
+                         ExtraPerCore(after.m_state.m_pairs, {"watch"}, {"press"}, after.m_now));
+    CPPUNIT_ASSERT_EQUAL(IdleLatency(before.m_state.m_pairs, {"watch"}),
+                         IdleLatency(after.m_state.m_pairs, {"watch"}));
+    before.Pass(1s);
+    before.m_state.m_pairs_changed = true;
+    Tick(before.m_state, before.m_now, before.m_wall);
+    CPPUNIT_ASSERT(!before.m_state.m_unwritten_pairs);
+  }
+
+  /// Guards against work that is done again after all processes were lost.
+  void RecordedProgressIsRestored() {
+    Site before;
+    before.Join("a");
+    before.Accept(MakeJob("j", 2));
+    (void)before.Starts();
+    auto report = before.Report("a");
+    report.m_ends = {{.m_number = 1, .m_task = Ref("j", 0), .m_run = 1},
+                     {.m_number = 2,
+                      .m_task = Ref("j", 1),
+                      .m_run = 1,
+                      .m_outcome = RunOutcome::kStopped,
+                      .m_checkpoint = "half"}};
+    (void)OnReport(before.m_state, before.m_now, report);
+    Site after;
+    after.m_state.m_epoch = 2;
+    Restore(after.m_state, after.m_now, MakeJob("j", 2));
+    for (const auto& change : TakeWrites(before.m_state, before.m_wall).m_records) {
+      if (const auto* const progress = std::get_if<JobProgress>(&change)) {
+        Restore(after.m_state, *progress);
+      }
+    }
+    FinishRestore(after.m_state, after.m_now, after.m_now);
+    after.Join("b");
+    const auto starts = after.Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT(starts[0].second.m_task == Ref("j", 1));
+    CPPUNIT_ASSERT_EQUAL(std::string{"half"}, starts[0].second.m_checkpoint);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoordinatorTakeoverTest);
+
+}  // namespace
+}  // namespace ebonypin::core::fleet
--- a/packages/core/tests/fleet/fleet_fixture.h
+++ b/packages/core/tests/fleet/fleet_fixture.h
@@ -26,6 +26,25 @@
                        .m_estimate = std::chrono::seconds{1}}}};
 }
 
+/// Returns such a job whose tasks serve until it is cancelled, with a target of 18 ms.
+inline JobSpec MakeServingJob(const std::string& id, const std::uint32_t count,
+                              const ImageName& image) {
+  JobSpec job = MakeJob(id, count);
+  job.m_steps[0].m_long_running = true;
+  job.m_steps[0].m_latency_target = std::chrono::milliseconds{18};
+  job.m_steps[0].m_image = image;
+  return job;
+}
+
+/// Returns such a job whose tasks take the processor time that others leave.
+inline JobSpec MakeFillingJob(const std::string& id, const std::uint32_t count,
+                              const ImageName& image) {
+  JobSpec job = MakeJob(id, count);
+  job.m_steps[0].m_fills = true;
+  job.m_steps[0].m_image = image;
+  return job;
+}
+
 inline TaskRef Ref(const std::string& job, const std::uint32_t index = 0,
                    const std::uint32_t step = 0, const std::uint32_t occurrence = 0) {
   return {.m_job = {job}, .m_occurrence = occurrence, .m_step = step, .m_index = index};
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -215,11 +215,7 @@
   void ServingTasksOfOneImageShareWorkers() {
     Site site;
     for (const auto* agent : {"a", "b", "c", "d"}) site.Join(agent);
-    auto watch = MakeJob("watch", 4);
-    watch.m_steps[0].m_long_running = true;
-    watch.m_steps[0].m_latency_target = 18ms;
-    watch.m_steps[0].m_image = {"watch"};
-    site.Accept(watch);
+    site.Accept(MakeServingJob("watch", 4, {"watch"}));
     std::set<std::string> used;
     for (const auto& [agent, start] : site.Starts()) used.insert(agent);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, used.size());
@@ -228,17 +224,11 @@
   void AFillingTaskStaysAwayFromWhatItDisturbs() {
     Site site;
     site.Join("a");
-    auto watch = MakeJob("watch", 1);
-    watch.m_steps[0].m_long_running = true;
-    watch.m_steps[0].m_latency_target = 18ms;
-    watch.m_steps[0].m_image = {"watch"};
-    site.Accept(watch);
+    site.Accept(MakeServingJob("watch", 1, {"watch"}));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
     site.m_state.m_pairs.m_pairs[{{"watch"}, {"press"}}] = {.m_extra = 3.0,
                                                             .m_learned = site.m_now};
-    auto press = MakeJob("press", 1);
-    press.m_steps[0].m_fills = true;
-    press.m_steps[0].m_image = {"press"};
+    auto press = MakeFillingJob("press", 1, {"press"});
     site.Accept(press);
     CPPUNIT_ASSERT(site.Starts().empty());
     site.Join("b");
@@ -250,10 +240,8 @@
   void ASlowFillingTaskMovesToWhereItIsHarmless() {
     Site site;
     site.Join("a");
-    auto press = MakeJob("press", 1);
-    press.m_steps[0].m_fills = true;
+    auto press = MakeFillingJob("press", 1, {"press"});
     press.m_steps[0].m_checkpointing = true;
-    press.m_steps[0].m_image = {"press"};
     site.Accept(press);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
     site.Join("b");
@@ -277,17 +265,11 @@
   void AJobWithNothingRunningTakesAnyPlace() {
     Site site;
     site.Join("a");
-    auto watch = MakeJob("watch", 1);
-    watch.m_steps[0].m_long_running = true;
-    watch.m_steps[0].m_latency_target = 18ms;
-    watch.m_steps[0].m_image = {"watch"};
-    site.Accept(watch);
+    site.Accept(MakeServingJob("watch", 1, {"watch"}));
     (void)site.Starts();
     site.m_state.m_pairs.m_pairs[{{"watch"}, {"press"}}] = {.m_extra = 3.0,
                                                             .m_learned = site.m_now};
-    auto press = MakeJob("press", 2);
-    press.m_steps[0].m_fills = true;
-    press.m_steps[0].m_image = {"press"};
+    auto press = MakeFillingJob("press", 2, {"press"});
     site.Accept(press);
     CPPUNIT_ASSERT(site.Starts().empty());
     site.Pass(site.m_state.m_options.m_patience);
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -11,31 +11,24 @@
 namespace ebonypin::daemon {
 namespace {
 
-using core::fleet::CoordinatorRecord;
 using core::fleet::JobCallReply;
 using core::fleet::JobCallStatus;
 using core::fleet::JobKey;
 using core::fleet::LeadershipStage;
-using core::fleet::LeadershipStep;
 using core::fleet::MemberKey;
 using core::fleet::ProgressKey;
 using platform::AppendStatus;
 using namespace std::chrono_literals;
 
-constexpr auto kGroup = "ebonypin.coordinator";
-constexpr auto kWriterName = "ebonypin.coordinator";
 /// Events of one burst are planned together; short against a task of half a second.
 constexpr auto kPumpDelay = 3ms;
 /// Between two appends, so that records of a burst share a call; each call costs 2 ms at the store.
 constexpr auto kAppendInterval = 12ms;
 constexpr auto kAppendRetry = 100ms;
 constexpr auto kTickInterval = 250ms;
-/// Between two questions whether the office lasts, while the partition is not held.
-constexpr auto kConfirmInterval = 1s;
 constexpr auto kOrdersDeadline = 600ms;
 constexpr auto kOrdersRetry = 120ms;
 constexpr std::size_t kMaxOrdersPerCall = 32;
-constexpr auto kStepDownDeadline = 500ms;
 /// New submissions are refused at once after appends have failed for this long.
 constexpr auto kFailingLimit = 400ms;
 constexpr auto kStoreRetryAfter = 1s;
@@ -78,232 +71,10 @@
   m_events->Every(kTickInterval, [this] { Tick(); });
 }
 
-void CoordinatorService::Leave() {
-  m_leaving = true;
-  BackToFollower("planned stop");
-  m_store.Leave(kGroup, m_options.m_entry + "@" + m_options.m_rpc_address, m_generation);
-}
-
 bool CoordinatorService::IsActive() const noexcept {
   return m_leadership.m_stage == LeadershipStage::kActive;
 }
 
-void CoordinatorService::Join() {
-  if (m_leaving) return;
-  m_events->At(Now() + m_options.m_leadership.m_join_interval, [this] { Join(); });
-  JoinOnce();
-}
-
-void CoordinatorService::JoinOnce() {
-  const auto sent = BootNow();
-  m_store.Join(kGroup, m_options.m_entry + "@" + m_options.m_rpc_address,
-               m_options.m_coordinator_topic, m_options.m_leadership.m_ttl, m_generation,
-               [this, events = m_events, sent](core::Captured<platform::GroupReply> reply) {
-                 events->Post([this, sent, reply = std::move(reply)] {
-                   if (m_leaving || !reply.Ok()) return;
-                   const auto step = OnJoined(m_leadership, sent, reply.m_value->m_holds_first);
-                   if (step != LeadershipStep::kKeep) m_generation = reply.m_value->m_generation;
-                   switch (step) {
-                     case LeadershipStep::kNone:
-                     case LeadershipStep::kKeep:
-                       return;
-                     case LeadershipStep::kClaim:
-                       return Claim();
-                     case LeadershipStep::kRelease:
-                       return JoinOnce();
-                   }
-                 });
-               });
-}
-
-void CoordinatorService::Claim() {
-  m_leadership.m_stage = LeadershipStage::kClaiming;
-  m_leadership.m_epoch = 0;
-  m_store.ReadNewest(m_options.m_coordinator_topic, {},
-                     [this, events = m_events](core::Captured<platform::NewestPage> page) {
-                       events->Post([this, page = std::move(page)] {
-                         if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
-                         if (!page.Ok()) return BackToFollower(page.m_error->m_message);
-                         CoordinatorRecord previous;
-                         for (const auto& record : page.m_value->m_records) {
-                           const auto decoded = core::Capture(
-                               [&] { return wire::DecodeCoordinator(record.m_value); });
-                           if (!decoded.Ok()) return BackToFollower(decoded.m_error->m_message);
-                           previous = *decoded.m_value;
-                         }
-                         Append({.m_epoch = previous.m_epoch + 1,
-                                 .m_entry = m_options.m_entry,
-                                 .m_rpc_address = m_options.m_rpc_address,
-                                 .m_incarnation = m_options.m_incarnation},
-                                page.m_value->m_end, previous);
-                       });
-                     });
-}
-
-void CoordinatorService::Append(const CoordinatorRecord& record, const std::uint64_t at_end,
-                                const CoordinatorRecord& previous) {
-  m_store.Append(m_options.m_coordinator_topic,
-                 {{.m_key = "coordinator", .m_value = wire::Encode(record)}}, {.m_at_end = at_end},
-                 [this, events = m_events, record, previous](const platform::AppendReply& reply) {
-                   events->Post([this, record, previous, reply] {
-                     if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
-                     // After a lost answer the next claim finds this epoch taken and takes another.
-                     if (reply.m_status != AppendStatus::kAppended) {
-                       return BackToFollower("claim: " + reply.m_reason);
-                     }
-                     m_leadership.m_epoch = record.m_epoch;
-                     Fence(previous);
-                   });
-                 });
-}
-
-void CoordinatorService::Fence(const CoordinatorRecord& previous) {
-  const auto sent = BootNow();
-  m_store.Append(
-      m_options.m_jobs_topic, {},
-      {.m_writer = platform::StoreWriter{.m_name = kWriterName, .m_epoch = m_leadership.m_epoch}},
-      [this, events = m_events, previous, sent](const platform::AppendReply& reply) {
-        events->Post([this, previous, sent, reply] {
-          if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
-          if (reply.m_status != AppendStatus::kAppended) {
-            return BackToFollower("fence: " + reply.m_reason);
-          }
-          m_leadership.m_confirmed = sent;
-          m_sequence = 0;
-          m_state = core::fleet::Coordinator{.m_options = m_options.m_coordinator,
-                                             .m_epoch = m_leadership.m_epoch,
-                                             .m_rpc_address = m_options.m_rpc_address};
-          Recover({}, previous);
-        });
-      });
-}
-
-void CoordinatorService::Recover(const std::string& after, const CoordinatorRecord& previous) {
-  m_store.ReadNewest(
-      m_options.m_jobs_topic, after,
-      [this, events = m_events, previous](core::Captured<platform::NewestPage> page) {
-        events->Post([this, previous, page = std::move(page)] {
-          if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
-          if (!page.Ok()) return BackToFollower(page.m_error->m_message);
-          const auto& records = page.m_value->m_records;
-          for (const auto& record : records) Restore(record);
-          if (page.m_value->m_more && !records.empty()) {
-            return Recover(records.back().m_key, previous);
-          }
-          Activate(previous);
-        });
-      });
-}
-
-void CoordinatorService::Restore(const platform::KeyedRecord& record) {
-  if (record.m_value.empty()) return;
-  const auto restore = [&](const auto& decoded, auto apply) {
-    if (decoded.Ok()) return apply(*decoded.m_value);
-    LogEvent(kRecordNotDecoded, {{"key", record.m_key}, {"reason", decoded.m_error->m_message}});
-  };
-  // Keys are read in their order, so a job comes before its progress.
-  if (record.m_key.starts_with("job/")) {
-    restore(core::Capture([&] { return wire::DecodeJobSpec(record.m_value); }),
-            [&](const auto& job) { core::fleet::Restore(m_state, BootNow(), job); });
-  } else if (record.m_key.starts_with("progress/")) {
-    restore(core::Capture([&] { return wire::DecodeJobProgress(record.m_value); }),
-            [&](const auto& progress) { core::fleet::Restore(m_state, progress); });
-  } else if (record.m_key.starts_with("member/")) {
-    restore(core::Capture([&] { return wire::DecodeMember(record.m_value); }),
-            [&](const auto& member) { core::fleet::Restore(m_state, member); });
-  } else if (record.m_key == core::fleet::kImagePairsKey) {
-    restore(core::Capture([&] { return wire::DecodeImagePairs(record.m_value); }),
-            [&](const auto& pairs) { core::fleet::Restore(m_state, BootNow(), pairs); });
-  }
-}
-
-void CoordinatorService::Activate(const CoordinatorRecord& previous) {
-  const auto now = BootNow();
-  const auto& options = m_options.m_coordinator;
-  const auto grants_end = options.m_grant + options.m_lapse_slack;
-  // A predecessor on this machine ended before this process began.
-  const bool same_place = previous.m_rpc_address == m_options.m_rpc_address;
-  const auto authority =
-      previous.m_epoch == 0 || same_place ? core::Duration{} : m_options.m_leadership.m_authority;
-  FinishRestore(m_state, now, now + authority + grants_end);
-  m_leadership.m_stage = LeadershipStage::kActive;
-  Learn(m_leadership.m_epoch, m_options.m_rpc_address);
-  LogEvent(kCoordinatorActive, {{"epoch", m_leadership.m_epoch},
-                                {"jobs", m_state.m_jobs.size()},
-                                {"members", m_state.m_silent_members.size()},
-                                {"previous", previous.m_entry}});
-  if (!same_place && previous.m_epoch > 0) {
-    m_rpc.Call(previous.m_rpc_address,
-               core::fleet::StepDown{.m_epoch = m_leadership.m_epoch,
-                                     .m_coordinator = m_options.m_rpc_address},
-               kStepDownDeadline, [this, grants_end](const wire::CallResult& result) {
-                 const auto* const reply = result.Get<core::fleet::StepDownReply>();
-                 if (reply == nullptr || !reply->m_stepped_down) return;
-                 m_events->Post([this, grants_end] {
-                   m_state.m_silent_until =
-                       std::min(m_state.m_silent_until, BootNow() + grants_end);
-                 });
-               });
-  }
-  Announce();
-  SchedulePump();
-}
-
-void CoordinatorService::Announce() {
-  for (const auto& [id, agent] : m_state.m_agents) AnnounceTo(agent.m_rpc_address);
-  m_store.Members(kGroup, [this,
-                           events = m_events](core::Captured<std::vector<std::string>> members) {
-    events->Post([this, members = std::move(members)] {
-      if (!members.Ok()) {
-        LogEvent(kStoreCallFailed, {{"call", "members"}, {"reason", members.m_error->m_message}});
-        return;
-      }
-      const std::set<std::string> distinct(members.m_value->begin(), members.m_value->end());
-      for (const auto& member : distinct) {
-        const auto address = member.substr(member.find('@') + 1);
-        if (address != m_options.m_rpc_address) AnnounceTo(address);
-      }
-    });
-  });
-}
-
-void CoordinatorService::AnnounceTo(const std::string& rpc_address) {
-  if (!IsActive()) return;
-  m_rpc.Call(rpc_address,
-             core::fleet::AgentOrders{.m_epoch = m_leadership.m_epoch,
-                                      .m_coordinator = m_options.m_rpc_address},
-             kOrdersDeadline, [this](const wire::CallResult& result) {
-               const auto* const reply = result.Get<core::fleet::AgentOrdersReply>();
-               // A peer that does not answer is announced to again by Tick while it is silent.
-               if (reply == nullptr) return;
-               m_events->Post([this, epoch = reply->m_epoch] { Learn(epoch, {}); });
-             });
-}
-
-void CoordinatorService::BackToFollower(const std::string& reason) {
-  if (m_leadership.m_stage == LeadershipStage::kFollower) return;
-  LogEvent(kCoordinatorEnded, {{"epoch", m_leadership.m_epoch}, {"reason", reason}});
-  m_leadership.m_stage = LeadershipStage::kFollower;
-  m_leadership.m_released = false;
-  m_batch_open = m_batch_sent = false;
-  m_state = {};
-  m_sending.clear();
-  m_send_after.clear();
-  m_failing_since = {};
-  for (auto& waiter : std::exchange(m_waiters, {})) {
-    waiter.m_done({.m_status = JobCallStatus::kUnknown, .m_reason = "the coordinator changed"});
-  }
-}
-
-void CoordinatorService::Learn(const core::Epoch epoch, const std::string& rpc_address) {
-  if (IsDeposedBy(m_leadership, epoch)) BackToFollower("a later epoch exists");
-  if (epoch < m_known.m_epoch || rpc_address.empty()) return;
-  if (m_known.m_rpc_address != rpc_address) {
-    LogEvent(kCoordinatorKnown, {{"epoch", epoch}, {"address", rpc_address}});
-  }
-  m_known = {.m_epoch = epoch, .m_rpc_address = rpc_address};
-}
-
 void CoordinatorService::Call(const core::fleet::JobCall& call, const core::Duration deadline,
                               JobCallDone done) {
   if (!IsActive()) {
@@ -440,10 +211,7 @@
 void CoordinatorService::SendBatch() {
   m_batch_sent = true;
   const auto sent = BootNow();
-  m_store.Append(m_options.m_jobs_topic, m_batch_records,
-                 {.m_writer = platform::StoreWriter{.m_name = kWriterName,
-                                                    .m_epoch = m_leadership.m_epoch,
-                                                    .m_sequence = m_sequence}},
+  m_store.Append(m_options.m_jobs_topic, m_batch_records, {.m_writer = Writer()},
                  [this, events = m_events, sent,
                   epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
                    events->Post([this, sent, epoch, reply] {
@@ -452,28 +220,6 @@
                  });
 }
 
-/// Asks the store whether a later epoch exists, when nothing else has told so for a while.
-void CoordinatorService::ConfirmOffice() {
-  const auto sent = BootNow();
-  if (m_batch_open || sent - m_leadership.m_confirmed < kConfirmInterval) return;
-  m_store.Append(m_options.m_jobs_topic, {},
-                 {.m_writer = platform::StoreWriter{.m_name = kWriterName,
-                                                    .m_epoch = m_leadership.m_epoch,
-                                                    .m_sequence = m_sequence}},
-                 [this, events = m_events, sent,
-                  epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
-                   events->Post([this, sent, epoch, reply] {
-                     if (!IsActive() || epoch != m_leadership.m_epoch) return;
-                     if (reply.m_status == AppendStatus::kFenced) {
-                       return BackToFollower("confirm: " + reply.m_reason);
-                     }
-                     if (reply.m_status == AppendStatus::kAppended) {
-                       m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
-                     }
-                   });
-                 });
-}
-
 void CoordinatorService::OnAppended(const core::Time sent, const platform::AppendReply& reply) {
   m_batch_sent = false;
   const auto now = BootNow();
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -74,6 +74,8 @@
   void Join();
   void JoinOnce();
   void ConfirmOffice();
+  /// Returns the writer of the next append, by which the store refuses a predecessor's.
+  [[nodiscard]] platform::StoreWriter Writer() const;
   void Claim();
   void Append(const core::fleet::CoordinatorRecord& record, std::uint64_t at_end,
               const core::fleet::CoordinatorRecord& previous);
