Begin an agent's session with a report that names it

Cause: a report that a cut had held up reached the coordinator after a newer one. It named no session, so the coordinator began another one and took every run that it did not list for lost, also runs that had been ordered in the session of the newer report and were starting.

Change: the reply to a report of an unknown session only offers one; it begins with the report that names it. Reports are numbered, and an overtaken one changes nothing. A task is not started while an agent lists a stray run of it. A list of runs that was asked for with an earlier fence does not count as the list of the worker's new life.

ARunIsLostWhenItsAgentListsAnEarlierOne demanded a start beside a listed run; it now demands that nothing starts before the run is gone.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -148,14 +148,17 @@
   bool m_recorded = false;      ///< The member record is in the store.
   bool m_record_asked = false;  ///< It is being written.
   WorkerInfo m_worker;
-  std::uint64_t m_session = 0;  ///< Zero: none, takes no orders.
-  Time m_granted;               ///< Time of the last reply with a grant.
+  std::uint64_t m_session = 0;      ///< Zero: none, takes no orders.
+  std::uint64_t m_offered = 0;      ///< Session that was offered and not taken yet; zero: none.
+  std::uint64_t m_last_report = 0;  ///< Number of the newest report of the session.
+  Time m_granted;                   ///< Time of the last reply with a grant.
   std::uint64_t m_next_order = 1;
   std::deque<Order> m_orders;  ///< Not confirmed.
   std::map<TaskRef, HeldRun> m_held;
   Resources m_used;  ///< Without processors of filling tasks.
   std::int64_t m_filling_cpu_millis = 0;
-  std::size_t m_strays = 0;   ///< Runs there that no task accounts for; their room is not free.
+  /// Runs there that no task accounts for; their room is not free.
+  std::vector<TaskRef> m_strays;
   std::size_t m_serving = 0;  ///< Serving tasks held.
   std::int64_t m_ends_born = 0;
   std::uint64_t m_ends_seen = 0;
@@ -214,6 +217,8 @@
   std::map<AgentId, std::string> m_silent_members;
   Time m_silent_until;  ///< All grants of earlier epochs have ended by then.
   std::uint64_t m_next_session = 1;
+  /// Stray runs by task. A task is not started while one of it may be at work.
+  std::map<TaskRef, std::uint32_t> m_strays;
   std::set<JobId> m_unwritten_jobs;  ///< Submissions to write.
   std::set<JobId> m_unwritten_progress;
   std::set<AgentId> m_unwritten_members;
--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -61,6 +61,7 @@
   AgentId m_agent;
   std::string m_rpc_address;
   Epoch m_epoch = 0;               ///< Highest one that the agent knows.
+  std::uint64_t m_number = 0;      ///< Increases with each report of this process.
   std::uint64_t m_session = 0;     ///< Zero: none, for example after its grant has expired.
   std::uint64_t m_last_order = 0;  ///< Newest order of the session that was taken.
   bool m_runs_known = false;       ///< The worker has listed its runs to this agent.
@@ -74,9 +75,9 @@
 struct AgentReportReply {
   bool m_accepted = false;  ///< The answering entry is the coordinator.
   Epoch m_epoch = 0;
-  std::string m_coordinator;  ///< RPC address of the coordinator, when known.
-  std::uint64_t m_session = 0;
-  Duration m_grant{};  ///< Leases may last until then, from the sending of the report.
+  std::string m_coordinator;    ///< RPC address of the coordinator, when known.
+  std::uint64_t m_session = 0;  ///< To report with; it begins with the report that names it.
+  Duration m_grant{};           ///< Leases may last until then, from the sending of the report.
   std::uint64_t m_recorded_end = 0;  ///< Ends up to this number are in the store.
   std::int64_t m_worker_born = 0;    ///< Life of the worker that `m_recorded_end` belongs to.
   std::vector<ImagePair> m_pairs;    ///< Learned for the images that run there.
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -129,6 +129,8 @@
   std::string m_coordinator;
   std::uint64_t m_session = 0;
   std::uint64_t m_last_order = 0;
+  bool m_session_granted = false;  ///< A grant was given in this session.
+  std::uint64_t m_reports = 0;     ///< Made by this process.
   Time m_granted_until;
 
   WorkerInfo m_worker;           ///< Id empty: no heartbeat yet.
@@ -147,6 +149,7 @@
   Time m_based;                ///< When the bases of the serving runs were last updated.
   std::map<ImageName, double> m_filling_cores;  ///< In use then, by filling image.
   bool m_hold_in_flight = false;
+  std::uint64_t m_hold_fence = 0;  ///< Of the hold in flight.
   Time m_next_hold;
   bool m_report_due = false;
 };
@@ -160,7 +163,7 @@
 
 [[nodiscard]] AgentOrdersReply OnOrders(WorkerAgent& agent, Time now, const AgentOrders& orders);
 
-[[nodiscard]] AgentReport MakeReport(const WorkerAgent& agent, Time now);
+[[nodiscard]] AgentReport MakeReport(WorkerAgent& agent, Time now);
 
 /// Takes the reply to a report that was sent at `sent`.
 void OnReportReply(WorkerAgent& agent, Time sent, const AgentReportReply& reply);
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -42,9 +42,16 @@
   order.m_start = OrderFor(job, ref, task);
 }
 
-/// Begins a new session: orders of the former one are void, because the agent has lost it.
+/// Offers a new session. It begins with a report that names it: a report of the former session, or
+/// of none, may have been held up for seconds and says nothing about the orders taken since.
+std::uint64_t OfferSession(Coordinator& state, Agent& agent) {
+  agent.m_offered = (state.m_epoch << 24U) | state.m_next_session++;
+  return agent.m_offered;
+}
+
+/// Begins the offered session: orders of the former one are void, because the agent has lost it.
 void BeginSession(Coordinator& state, Agent& agent) {
-  agent.m_session = (state.m_epoch << 24U) | state.m_next_session++;
+  agent.m_session = std::exchange(agent.m_offered, 0);
   agent.m_next_order = 1;
   agent.m_orders.clear();
   for (const auto& [ref, held] : agent.m_held) {
@@ -232,7 +239,7 @@
 }
 
 void OrderStray(Coordinator& state, Agent& agent, const RunStatus& run, std::string reason) {
-  ++agent.m_strays;
+  AddStray(state, agent, run.m_task);
   const bool ordered =
       std::any_of(agent.m_orders.begin(), agent.m_orders.end(), [&](const Order& order) {
         return order.m_kind == OrderKind::kStop && order.m_start.m_task == run.m_task &&
@@ -246,18 +253,42 @@
   Decide(state, "stray run stopped", run.m_task, run.m_run, agent.m_id, std::move(reason));
 }
 
+void AddStray(Coordinator& state, Agent& agent, const TaskRef& ref) {
+  agent.m_strays.push_back(ref);
+  ++state.m_strays[ref];
+}
+
+void DropStrays(Coordinator& state, Agent& agent) {
+  for (const auto& ref : std::exchange(agent.m_strays, {})) {
+    const auto found = state.m_strays.find(ref);
+    if (--found->second == 0) state.m_strays.erase(found);
+  }
+}
+
 AgentReportReply OnReport(Coordinator& state, const Time now, const AgentReport& report) {
   AgentReportReply reply{
       .m_accepted = true, .m_epoch = state.m_epoch, .m_coordinator = state.m_rpc_address};
   Agent& agent = state.m_agents[report.m_agent];
   agent.m_id = report.m_agent;
+  if (agent.m_rpc_address.empty()) agent.m_rpc_address = report.m_rpc_address;
+  if (!report.m_runs_known) return reply;
+  const bool in_session = agent.m_session != 0 && report.m_session == agent.m_session;
+  const bool new_session = agent.m_offered != 0 && report.m_session == agent.m_offered;
+  if (!in_session && !new_session) {
+    reply.m_session = OfferSession(state, agent);
+    return reply;
+  }
+  if (in_session && report.m_number <= agent.m_last_report) {
+    // Overtaken by a newer one: what it does not list may have been started since.
+    reply.m_session = agent.m_session;
+    return reply;
+  }
+  agent.m_last_report = report.m_number;
   if (agent.m_rpc_address != report.m_rpc_address) {
     agent.m_rpc_address = report.m_rpc_address;
     agent.m_recorded = agent.m_record_asked = false;
   }
   agent.m_worker = report.m_worker;
-  if (!report.m_runs_known) return reply;
-  const bool new_session = agent.m_session == 0 || report.m_session != agent.m_session;
   // A member that was recorded in an earlier epoch may have runs, so its report counts before the
   // new record is written; a newcomer has none.
   state.m_silent_members.erase(report.m_agent);
@@ -267,7 +298,7 @@
   }
   if (new_session) BeginSession(state, agent);
   OnEnds(state, now, agent, report);
-  agent.m_strays = 0;
+  DropStrays(state, agent);
   for (const auto& run : report.m_runs) OnRun(state, now, agent, run);
   EndMissing(state, now, agent, report, new_session);
   reply.m_pairs = Learn(state, now, agent, report);
@@ -310,6 +341,7 @@
 void EndGrant(Coordinator& state, const Time now, Agent& agent) {
   agent.m_session = 0;
   agent.m_orders.clear();
+  DropStrays(state, agent);
   std::vector<TaskRef> held;
   for (const auto& [ref, run] : agent.m_held) held.push_back(ref);
   for (const auto& ref : held) {
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -25,6 +25,12 @@
 /// Adds an order to stop the run unless there is one.
 void OrderStop(Coordinator& state, const TaskRef& ref, Task& task, std::string reason);
 
+/// Counts a run at the agent that no task accounts for, until the agent's next report.
+void AddStray(Coordinator& state, Agent& agent, const TaskRef& ref);
+
+/// Forgets the stray runs that the agent listed last.
+void DropStrays(Coordinator& state, Agent& agent);
+
 /// Adds an order to stop a run that no task accounts for.
 void OrderStray(Coordinator& state, Agent& agent, const RunStatus& run, std::string reason);
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -61,7 +61,7 @@
   if (task.m_phase == TaskPhase::kPlaced) {
     // Another run of it was done; this one keeps its room until its agent lists it no more.
     OrderStop(state, ref, task, "another run of the task is done");
-    ++state.m_agents.at(task.m_agent).m_strays;
+    AddStray(state, state.m_agents.at(task.m_agent), ref);
     Release(state, ref, task);
   }
   task.m_phase = TaskPhase::kDone;
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -130,14 +130,16 @@
   for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
     Task& task = step.m_tasks[i];
     if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) continue;
+    const TaskRef ref{.m_job = job.m_spec.m_id,
+                      .m_occurrence = ready.m_occurrence,
+                      .m_step = ready.m_step,
+                      .m_index = i};
+    if (state.m_strays.count(ref) > 0) continue;
     const TaskNeed need{.m_state = state,
                         .m_job = job,
                         .m_spec = spec,
                         .m_step = step,
-                        .m_ref = {.m_job = job.m_spec.m_id,
-                                  .m_occurrence = ready.m_occurrence,
-                                  .m_step = ready.m_step,
-                                  .m_index = i},
+                        .m_ref = ref,
                         .m_task = task};
     Agent* const agent = ChooseWorker(state, need, now);
     if (agent == nullptr) {
@@ -158,19 +160,21 @@
   const StepSpec& spec = job.m_spec.m_steps[ready.m_step];
   RunNumber last = 0;
   std::string checkpoint;
-  for (const auto& task : step.m_tasks) {
-    if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) return;
-    last = std::max(last, task.m_run);
-    // Every member's checkpoint is valid for the gang, and all must carry the same one.
-    if (!task.m_checkpoint.empty()) checkpoint = task.m_checkpoint;
-  }
-  std::vector<std::pair<Agent*, TaskRef>> held;
   const auto ref_of = [&](const std::uint32_t i) {
     return TaskRef{.m_job = job.m_spec.m_id,
                    .m_occurrence = ready.m_occurrence,
                    .m_step = ready.m_step,
                    .m_index = i};
   };
+  for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+    const Task& task = step.m_tasks[i];
+    if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) return;
+    if (state.m_strays.count(ref_of(i)) > 0) return;
+    last = std::max(last, task.m_run);
+    // Every member's checkpoint is valid for the gang, and all must carry the same one.
+    if (!task.m_checkpoint.empty()) checkpoint = task.m_checkpoint;
+  }
+  std::vector<std::pair<Agent*, TaskRef>> held;
   const auto need_of = [&](const std::uint32_t i) {
     return TaskNeed{.m_state = state,
                     .m_job = job,
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -331,11 +331,13 @@
   return reply;
 }
 
-AgentReport MakeReport(const WorkerAgent& agent, const Time now) {
+AgentReport MakeReport(WorkerAgent& agent, const Time now) {
+  const bool session_over = agent.m_session_granted && now >= agent.m_granted_until;
   AgentReport report{.m_agent = agent.m_id,
                      .m_rpc_address = agent.m_rpc_address,
                      .m_epoch = agent.m_epoch,
-                     .m_session = now < agent.m_granted_until ? agent.m_session : 0,
+                     .m_number = ++agent.m_reports,
+                     .m_session = session_over ? 0 : agent.m_session,
                      .m_last_order = agent.m_last_order,
                      .m_runs_known = agent.m_runs_known,
                      .m_worker = agent.m_worker,
@@ -362,8 +364,11 @@
   if (reply.m_session != agent.m_session) {
     agent.m_session = reply.m_session;
     agent.m_last_order = 0;
+    agent.m_session_granted = false;
+    agent.m_report_due = true;
   }
   if (reply.m_grant > Duration{}) {
+    agent.m_session_granted = true;
     agent.m_granted_until = std::max(agent.m_granted_until, sent + reply.m_grant);
   }
   Adopt(agent.m_pairs, reply.m_pairs, sent);
@@ -378,6 +383,7 @@
     return std::nullopt;
   }
   agent.m_hold_in_flight = true;
+  agent.m_hold_fence = agent.m_fence;
   const bool waits = agent.m_runs_known && agent.m_ends.empty();
   // A silent worker may take each of these calls, so they must not extend its leases for ever.
   const bool extends = agent.m_worker.m_reachable;
@@ -400,6 +406,11 @@
     agent.m_worker.m_born = answer->m_born;
     return;
   }
+  if (agent.m_hold_fence < agent.m_fence) {
+    // The worker may still take a start that was sent with the former fence.
+    agent.m_next_hold = now;
+    return;
+  }
   if (!agent.m_worker.m_reachable || !agent.m_runs_known) agent.m_report_due = true;
   agent.m_worker.m_reachable = true;
   agent.m_runs_known = true;
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -116,7 +116,7 @@
 bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept {
   const auto& spec = need.m_spec;
   if (agent.m_orders.size() >= need.m_state.m_options.m_max_unconfirmed) return false;
-  if (agent.m_strays > 0) return false;
+  if (!agent.m_strays.empty()) return false;
   Resources size = spec.m_size;
   Resources room = agent.m_worker.m_capacity - agent.m_used;
   if (spec.m_fills) {
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -52,7 +52,7 @@
     FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
     auto report = site.Report("a");
     report.m_runs = {{.m_task = Ref("j"), .m_run = 3, .m_percent = 40}};
-    (void)OnReport(site.m_state, site.m_now, report);
+    (void)site.ReportAnew(report);
     CPPUNIT_ASSERT(site.Starts().empty());
     CPPUNIT_ASSERT(site.Stops().empty());
     (void)site.End("a", 9, Ref("j"), 3, RunOutcome::kDone);
@@ -66,12 +66,8 @@
     site.Accept(MakeServingJob("watch", 1, {"search"}));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
     auto report = site.Report("a");
-    report.m_session = 0;
-    report.m_last_order = 0;
     report.m_runs = {{.m_task = Ref("watch"), .m_run = 1, .m_order_known = false}};
-    (void)OnReport(site.m_state, site.m_now, report);
-    report.m_session = site.m_state.m_agents.at({"a"}).m_session;
-    (void)OnReport(site.m_state, site.m_now, report);
+    (void)site.ReportAnew(report);
     const auto& orders = site.m_state.m_agents.at({"a"}).m_orders;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
     CPPUNIT_ASSERT(orders[0].m_kind == OrderKind::kDescribe);
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -239,6 +239,9 @@
   CPPUNIT_TEST(ASilentAgentKeepsItsRunsUntilItsGrantHasEnded);
   CPPUNIT_TEST(AnOrderOnItsWayIsNotTakenForLost);
   CPPUNIT_TEST(AnAgentThatLostItsSessionLosesWhatItDoesNotList);
+  CPPUNIT_TEST(AReportOfAFormerSessionEndsNothing);
+  CPPUNIT_TEST(AnOvertakenReportAdoptsNothing);
+  CPPUNIT_TEST(ATaskWaitsForItsStrayRun);
   CPPUNIT_TEST(AStrayRunIsStopped);
   CPPUNIT_TEST(ARunIsLostWhenItsAgentListsAnEarlierOne);
   CPPUNIT_TEST(NoWorkerIsFilledBeyondItsCapacity);
@@ -252,8 +255,8 @@
   /// Guards against runs that a successor of the coordinator does not know of.
   void AnAgentGetsNoGrantBeforeItIsRecorded() {
     Site site;
-    const auto first = OnReport(site.m_state, site.m_now, site.Report("a"));
-    CPPUNIT_ASSERT(first.m_grant == Duration{});
+    const auto first = site.ReportAnew(site.Report("a"));
+    CPPUNIT_ASSERT(first.m_session != 0 && first.m_grant == Duration{});
     site.Accept(MakeJob("j"));
     const auto second = OnReport(site.m_state, site.m_now, site.Report("a"));
     CPPUNIT_ASSERT(second.m_grant == site.m_state.m_options.m_grant);
@@ -266,7 +269,7 @@
     site.Join("a");
     site.Pass(site.m_state.m_options.m_grant + site.m_state.m_options.m_lapse_slack + 1ms);
     Tick(site.m_state, site.m_now, site.m_wall);
-    (void)OnReport(site.m_state, site.m_now, site.Report("a"));
+    (void)site.ReportAnew(site.Report("a"));
     const auto batch = TakeWrites(site.m_state, site.m_wall);
     CPPUNIT_ASSERT(std::holds_alternative<RemovedRecord>(batch.m_records.front()));
     CPPUNIT_ASSERT(std::holds_alternative<MemberRecord>(batch.m_records.back()));
@@ -317,11 +320,9 @@
     site.Accept(MakeJob("j", 2));
     (void)site.Starts();
     auto report = site.Report("a");
-    report.m_session = 0;
-    report.m_last_order = 0;
     report.m_runs = {{.m_task = Ref("j", 1), .m_run = 1}};
     const auto old_session = site.m_state.m_agents.at({"a"}).m_session;
-    const auto reply = OnReport(site.m_state, site.m_now, report);
+    const auto reply = site.ReportAnew(report);
     CPPUNIT_ASSERT(reply.m_session != old_session);
     site.Pass(1s);
     const auto starts = site.Starts();
@@ -329,6 +330,55 @@
     CPPUNIT_ASSERT_EQUAL(0U, starts[0].second.m_task.m_index);
   }
 
+  /// Guards against a second run of a task whose start a held-up report cannot know: the report was
+  /// sent before the session in which the start was ordered (days with workers cut off and back).
+  void AReportOfAFormerSessionEndsNothing() {
+    Site site;
+    auto held_up = site.Report("a");
+    site.Join("a");
+    site.Accept(MakeJob("j"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    const auto session = site.m_state.m_agents.at({"a"}).m_session;
+    (void)OnReport(site.m_state, site.m_now, held_up);
+    site.Pass(1s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    CPPUNIT_ASSERT_EQUAL(session, site.m_state.m_agents.at({"a"}).m_session);
+  }
+
+  /// Guards against a run that an overtaken report lists although it has ended since.
+  void AnOvertakenReportAdoptsNothing() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeJob("j"));
+    (void)site.Starts();
+    auto overtaken = site.Report("a");
+    overtaken.m_runs = {{.m_task = Ref("j"), .m_run = 1}};
+    (void)site.End("a", 1, Ref("j"), 1, RunOutcome::kStopped);
+    (void)OnReport(site.m_state, site.m_now, overtaken);
+    CPPUNIT_ASSERT_EQUAL(RunNumber{2}, site.Starts().at(0).second.m_run);
+  }
+
+  /// Guards against a second run of a task beside one that an agent still lists.
+  void ATaskWaitsForItsStrayRun() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeJob("j"));
+    (void)site.Starts();
+    (void)site.ReportAnew(site.Report("a"));
+    site.Pass(1s);
+    site.Join("b");
+    const auto second = site.Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+    (void)site.ReportAnew(site.Report(second[0].first));
+    auto stray = site.Report("a");
+    stray.m_runs = {{.m_task = Ref("j"), .m_run = 1}};
+    (void)OnReport(site.m_state, site.m_now, stray);
+    site.Pass(1s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    (void)OnReport(site.m_state, site.m_now, site.Report("a"));
+    CPPUNIT_ASSERT_EQUAL(RunNumber{3}, site.Starts().at(0).second.m_run);
+  }
+
   /// Guards against work that nobody accounts for and that runs until its lease ends.
   void AStrayRunIsStopped() {
     Site site;
@@ -340,7 +390,7 @@
   }
 
   /// Guards against a task that waits for ever for a start which its agent passed over, because an
-  /// earlier run of the task was still there.
+  /// earlier run of the task was still there, and against a start beside that run.
   void ARunIsLostWhenItsAgentListsAnEarlierOne() {
     Site site;
     site.Join("a");
@@ -353,6 +403,9 @@
     CPPUNIT_ASSERT(!site.Stops().empty());
     site.Join("b");
     site.Pass(1s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    (void)OnReport(site.m_state, site.m_now, site.Report("a"));
+    site.m_state.m_agents.at({"a"}).m_worker.m_draining = true;
     const auto starts = site.Starts();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
     CPPUNIT_ASSERT_EQUAL(std::string{"b"}, starts[0].first);
@@ -447,7 +500,7 @@
     site.Join("a");
     auto labelled = site.Report("b");
     labelled.m_worker.m_labels = {"fast"};
-    (void)OnReport(site.m_state, site.m_now, labelled);
+    (void)site.ReportAnew(labelled);
     site.Write();
     auto job = MakeJob("j", 4);
     job.m_steps[0].m_required_label = "fast";
--- a/packages/core/tests/fleet/fleet_fixture.h
+++ b/packages/core/tests/fleet/fleet_fixture.h
@@ -85,6 +85,7 @@
     AgentReport report{.m_agent = {agent},
                        .m_rpc_address = agent,
                        .m_epoch = m_state.m_epoch,
+                       .m_number = ++m_reports,
                        .m_runs_known = true,
                        .m_worker = {.m_id = {"w-" + agent},
                                     .m_born = 7,
@@ -98,9 +99,19 @@
     return report;
   }
 
-  /// Joins an agent: its first report, its record, and the report that gets a grant.
+  /// Reports without a session, and then `report` with the session that is offered.
+  AgentReportReply ReportAnew(AgentReport report) {
+    report.m_session = 0;
+    report.m_last_order = 0;
+    report.m_number = ++m_reports;
+    report.m_session = OnReport(m_state, m_now, report).m_session;
+    report.m_number = ++m_reports;
+    return OnReport(m_state, m_now, report);
+  }
+
+  /// Joins an agent: its first reports, its record, and the report that gets a grant.
   void Join(const std::string& agent) {
-    (void)OnReport(m_state, m_now, Report(agent));
+    if (Report(agent).m_session == 0) (void)ReportAnew(Report(agent));
     Write();
     (void)OnReport(m_state, m_now, Report(agent));
   }
@@ -139,8 +150,11 @@
                        const RunNumber run, const RunOutcome outcome) {
     auto report = Report(agent);
     report.m_ends = {{.m_number = number, .m_task = task, .m_run = run, .m_outcome = outcome}};
-    return OnReport(m_state, m_now, report);
+    return report.m_session == 0 ? ReportAnew(report) : OnReport(m_state, m_now, report);
   }
+
+ private:
+  std::uint64_t m_reports = 0;
 };
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/tests/fleet/history_test.cc
+++ b/packages/core/tests/fleet/history_test.cc
@@ -342,6 +342,14 @@
           {.m_epoch = m_offices.size(), .m_coordinator = std::to_string(m_offices.size() - 1)});
       return;
     }
+    if (Chance(0.05)) {
+      // Held up on its connection, while the agent reports again on another.
+      Later(Delay(3s), [this, office, report] {
+        auto& late = *m_offices[office];
+        if (MayAct(late.m_leadership, m_now)) (void)OnReport(late.m_state, m_now, report);
+      });
+      return;
+    }
     const auto reply = OnReport(target.m_state, m_now, report);
     if (Chance(0.05)) return;
     OnReportReply(agent, m_now, reply);
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -56,7 +56,7 @@
         .m_accepted;
   }
 
-  [[nodiscard]] bool Lists() const { return !MakeReport(m_agent, m_now).m_runs.empty(); }
+  [[nodiscard]] bool Lists() { return !MakeReport(m_agent, m_now).m_runs.empty(); }
 };
 
 class WorkerAgentTest : public CppUnit::TestFixture {
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -87,6 +87,7 @@
   worker @6 :WorkerInfo;
   runs @7 :List(RunStatus);
   ends @8 :List(RunEnded);
+  number @9 :UInt64;
 }
 
 struct AgentReportReply {
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -200,6 +200,7 @@
   out.setAgent(in.m_agent.m_value);
   out.setRpcAddress(in.m_rpc_address);
   out.setEpoch(in.m_epoch);
+  out.setNumber(in.m_number);
   out.setSession(in.m_session);
   out.setLastOrder(in.m_last_order);
   out.setRunsKnown(in.m_runs_known);
@@ -212,6 +213,7 @@
   return {.m_agent = {GetText(in.getAgent())},
           .m_rpc_address = GetText(in.getRpcAddress()),
           .m_epoch = in.getEpoch(),
+          .m_number = in.getNumber(),
           .m_session = in.getSession(),
           .m_last_order = in.getLastOrder(),
           .m_runs_known = in.getRunsKnown(),
--- a/packages/wire/tests/samples.cc
+++ b/packages/wire/tests/samples.cc
@@ -188,6 +188,7 @@
           .m_agent = {"agent-1"},
           .m_rpc_address = "127.0.0.1:3",
           .m_epoch = 4,
+          .m_number = 4,
           .m_session = 5,
           .m_last_order = 6,
           .m_runs_known = true,
