Let the entries with the most processor stand for the office

Cause: any entry could become the coordinator of all jobs, also one with 0.12 of a processor. Taking over 240 members kept it busy for longer than the 1.1 s of its membership, because its joins waited behind the reports; it lost what it had just taken, and so did the next one.

Change: members of the group state their processors (new setting [process] processors, filled in when the process is placed). An entry stands aside while a member has more; it looks every 1.5 s and stands when none is left, so the smallest serves when nothing else lives. A small one in office gives way. Joins run on a thread of their own.

The decision is core/fleet/candidacy.h.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -26,6 +26,7 @@
   std::string m_control_address;    ///< "ip:port"; fleet agents take heartbeats here.
   std::string m_log_level = "info";
   core::Duration m_ready_after = std::chrono::milliseconds{1500};  ///< Entries only.
+  std::uint32_t m_cpu_millis = 0;  ///< Processors of a fleet entry, in thousandths; zero: not set.
   std::vector<std::string> m_seeds;  ///< RPC addresses of the balancer or of entries.
 
   // [log]
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <initializer_list>
 #include <utility>
 
@@ -13,6 +15,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr double kMostProcessors = 1024.0;
+
 /// What is accepted by a key: how to describe it and how to store it.
 struct Form {
   std::string m_text;
@@ -96,6 +100,20 @@
           }};
 }
 
+/// Number of processors, such as 0.25, kept in thousandths.
+Form Processors(std::uint32_t Settings::*member, const double most) {
+  return {fmt::format("a decimal number from 0.001 to {}", most),
+          [=](Settings& settings, const std::string& value) {
+            double processors = 0.0;
+            const char* const end = value.data() + value.size();
+            const auto parsed = std::from_chars(value.data(), end, processors);
+            if (parsed.ec != std::errc{} || parsed.ptr != end) return false;
+            if (!(processors >= 0.001 && processors <= most)) return false;
+            settings.*member = static_cast<std::uint32_t>(std::lround(processors * 1000.0));
+            return true;
+          }};
+}
+
 Form CapacityBetween(std::int64_t core::Resources::*member, const std::int64_t min,
                      const std::int64_t max) {
   return {fmt::format("a whole number from {} to {}", min, max),
@@ -172,6 +190,10 @@
           {.m_default = "1500ms"},
           "Time after its start before an entry serves callers, in which agents make themselves "
           "known."),
+      Key("process", "processors", Processors(&S::m_cpu_millis, kMostProcessors),
+          {.m_example = "0.25"},
+          "Processors of a fleet entry; the ones with the most stand for the coordinator's "
+          "office."),
       Key("process", "seeds", AddressList(&S::m_seeds),
           {.m_required = RequiredBy::kAgent, .m_example = "127.0.0.1:7101,127.0.0.1:7102"},
           "RPC addresses of the load balancer or of entries, to find the others at start."),
--- a/packages/daemon/src/fleet/coordinator_office.cc
+++ b/packages/daemon/src/fleet/coordinator_office.cc
@@ -1,4 +1,5 @@
 /// Office of the coordinator: how an entry takes it, restores the state, and loses it.
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -23,28 +24,79 @@
 /// Between two questions whether the office lasts, while the partition is not held.
 constexpr auto kConfirmInterval = 1s;
 constexpr auto kAnnounceDeadline = 600ms;
+/// Between two looks at the members: without a coordinator after the larger entries were lost until
+/// one that stands aside looks again, so shorter there.
+constexpr auto kStandingCheck = 5000ms;
+constexpr auto kAsideCheck = 1500ms;
+/// Longest delay of the first look, so that entries with more processors are members before.
+constexpr auto kLongestFirstLook = 500ms;
+constexpr double kFirstLookPerProcessor = 50.0;  // Milliseconds x processors.
 constexpr auto kStepDownDeadline = 500ms;
 }  // namespace
 
+core::fleet::Candidate CoordinatorService::Own() const {
+  return {.m_entry = m_options.m_entry,
+          .m_rpc_address = m_options.m_rpc_address,
+          .m_cpu_millis = m_options.m_cpu_millis};
+}
+
 void CoordinatorService::Leave() {
   m_leaving = true;
   BackToFollower("planned stop");
-  m_store.Leave(kGroup, m_options.m_entry + "@" + m_options.m_rpc_address, m_generation);
+  LeaveGroup();
+}
+
+void CoordinatorService::LeaveGroup() { m_store.Leave(kGroup, MemberName(Own()), m_generation); }
+
+core::Duration CoordinatorService::FirstLookDelay() const noexcept {
+  if (m_options.m_cpu_millis == 0) return {};
+  const double delay_ms = kFirstLookPerProcessor * 1000.0 / m_options.m_cpu_millis;
+  return std::min<core::Duration>(kLongestFirstLook,
+                                  std::chrono::milliseconds{std::lround(delay_ms)});
+}
+
+void CoordinatorService::CheckCandidacy() {
+  if (m_leaving) return;
+  m_events->At(Now() + (m_standing ? kStandingCheck : kAsideCheck), [this] { CheckCandidacy(); });
+  m_store.Members(
+      kGroup, [this, events = m_events](core::Captured<std::vector<std::string>> members) {
+        if (!members.Ok()) {
+          // Nothing is decided while the store is away.
+          LogEvent(kStoreCallFailed, {{"call", "members"}, {"reason", members.m_error->m_message}});
+          return;
+        }
+        events->Post([this, members = std::move(*members.m_value)] {
+          if (!m_leaving) OnMembers(members);
+        });
+      });
+}
+
+void CoordinatorService::OnMembers(const std::vector<std::string>& members) {
+  const bool stands = DecideCandidacy(Own(), members) == core::fleet::CandidacyStep::kStand;
+  if (stands == m_standing) return;
+  m_standing = stands;
+  LogEvent(kCandidacyChanged, {{"stands", stands},
+                               {"cpu_millis", m_options.m_cpu_millis},
+                               {"members", members.size()},
+                               {"epoch", m_known.m_epoch}});
+  if (stands) return JoinOnce();
+  BackToFollower("an entry with more processors stands");
+  LeaveGroup();
 }
 
 void CoordinatorService::Join() {
   if (m_leaving) return;
-  m_events->At(Now() + m_options.m_leadership.m_join_interval, [this] { Join(); });
-  JoinOnce();
+  m_membership.At(Now() + m_options.m_leadership.m_join_interval, [this] { Join(); });
+  if (m_standing) JoinOnce();
 }
 
 void CoordinatorService::JoinOnce() {
   const auto sent = BootNow();
-  m_store.Join(kGroup, m_options.m_entry + "@" + m_options.m_rpc_address,
-               m_options.m_coordinator_topic, m_options.m_leadership.m_ttl, m_generation,
+  m_store.Join(kGroup, MemberName(Own()), m_options.m_coordinator_topic,
+               m_options.m_leadership.m_ttl, m_generation,
                [this, events = m_events, sent](core::Captured<platform::GroupReply> reply) {
                  events->Post([this, sent, reply = std::move(reply)] {
-                   if (m_leaving || !reply.Ok()) return;
+                   if (m_leaving || !m_standing || !reply.Ok()) return;
                    const auto step = OnJoined(m_leadership, sent, reply.m_value->m_holds_first);
                    if (step != LeadershipStep::kKeep) m_generation = reply.m_value->m_generation;
                    switch (step) {
@@ -202,11 +254,14 @@
         LogEvent(kStoreCallFailed, {{"call", "members"}, {"reason", members.m_error->m_message}});
         return;
       }
-      const std::set<std::string> distinct(members.m_value->begin(), members.m_value->end());
-      for (const auto& member : distinct) {
-        const auto address = member.substr(member.find('@') + 1);
-        if (address != m_options.m_rpc_address) AnnounceTo(address);
+      std::set<std::string> addresses;
+      for (const auto& member : *members.m_value) {
+        if (const auto other = core::fleet::ParseMember(member)) {
+          addresses.insert(other->m_rpc_address);
+        }
       }
+      addresses.erase(m_options.m_rpc_address);
+      for (const auto& address : addresses) AnnounceTo(address);
     });
   });
 }
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -67,7 +67,8 @@
       m_leadership{.m_options = m_options.m_leadership} {}
 
 void CoordinatorService::Start() {
-  m_events->Post([this] { Join(); });
+  m_membership.Post([this] { Join(); });
+  m_events->At(Now() + FirstLookDelay(), [this] { CheckCandidacy(); });
   m_events->Every(kTickInterval, [this] { Tick(); });
 }
 
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -4,6 +4,7 @@
 /// service may come after the end of the service; they only post to that thread, which has stopped.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <list>
 #include <map>
@@ -13,6 +14,7 @@
 #include <string>
 
 #include "../event_thread.h"
+#include "ebonypin/core/fleet/candidacy.h"
 #include "ebonypin/core/fleet/coordinator.h"
 #include "ebonypin/core/fleet/leadership.h"
 #include "ebonypin/platform/advice.h"
@@ -26,6 +28,7 @@
 struct CoordinatorServiceOptions {
   std::string m_entry;
   std::string m_rpc_address;
+  std::uint32_t m_cpu_millis = 0;  ///< Processors of the entry, in thousandths; zero: not known.
   core::Incarnation m_incarnation = 0;
   std::string m_jobs_topic;
   std::string m_coordinator_topic;
@@ -71,8 +74,13 @@
     JobCallDone m_done;
   };
 
+  [[nodiscard]] core::fleet::Candidate Own() const;
+  [[nodiscard]] core::Duration FirstLookDelay() const noexcept;
+  void CheckCandidacy();
+  void OnMembers(const std::vector<std::string>& members);
   void Join();
   void JoinOnce();
+  void LeaveGroup();
   void ConfirmOffice();
   /// Returns the writer of the next append, by which the store refuses a predecessor's.
   [[nodiscard]] platform::StoreWriter Writer() const;
@@ -105,8 +113,11 @@
   core::fleet::Leadership m_leadership;
   core::fleet::Coordinator m_state;
   KnownCoordinator m_known;
-  std::uint64_t m_generation = 0;
-  bool m_leaving = false;
+  /// Joins on its own thread: a coordinator whose events take long is not taken for dead.
+  EventThread m_membership;
+  std::atomic<std::uint64_t> m_generation{0};
+  std::atomic<bool> m_standing{false};  ///< A member of the group, or about to be one.
+  std::atomic<bool> m_leaving{false};
   bool m_pump_scheduled = false;
   std::list<Waiter> m_waiters;
   std::set<core::AgentId> m_sending;                 ///< Agents with a call of orders in flight.
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -118,6 +118,7 @@
                      });
     CoordinatorServiceOptions options{.m_entry = m_settings.m_id,
                                       .m_rpc_address = m_settings.m_rpc_address,
+                                      .m_cpu_millis = m_settings.m_cpu_millis,
                                       .m_incarnation = NewIncarnation(),
                                       .m_jobs_topic = m_platform.m_jobs_topic,
                                       .m_coordinator_topic = m_platform.m_coordinator_topic};
