Bound what a plan costs and writes on a site of hundreds of workers

Cause: each plan computed the longest chains of every waiting step, compared every worker with room for each filling task, and asked again 3 ms later; each tick looked for a better place at all workers for every slow filling task.

Change: chains are computed once a job; a plan looks at open jobs only; a filling task is compared at 24 places at most, each comparison beginning after the last; a step of filling tasks that found no place is asked again after 40 ms, or at once when a worker was added; a better place is looked for twice a second; a plan pauses for twice its own time, 50 ms at most. What a plan places of a step is one line that lists tasks, runs, agents and committed processors. Losses and failures are warnings (E614) with a reserve of the log's limit, and E107 counts the dropped lines by event.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -61,6 +61,14 @@
   /// A filling task that got a small share for this long is moved: a move costs a stop and a
   /// resume, about half a second.
   Duration m_move_after = std::chrono::milliseconds{1000};
+  /// Between two looks for a better place for one task; agents report twice a second.
+  Duration m_place_check_interval = std::chrono::milliseconds{500};
+  /// Wait of a step of filling tasks that found no place. The shares that places have to give
+  /// change with the agents' reports, twice a second.
+  Duration m_blocked_delay = std::chrono::milliseconds{40};
+  /// Places with room that are compared for one filling task. A comparison costs microseconds for
+  /// each, so the number does not grow with the workers; each comparison begins after the last.
+  std::size_t m_compared_places = 24;
   /// Share of its processors, as used over half a second, below which a filling task is slow.
   double m_slow_share = 0.6;
   /// Progress up to which a task without checkpoints is moved; it starts anew.
@@ -91,10 +99,11 @@
   AgentId m_agent;            ///< Of the run in progress.
   std::uint64_t m_order = 0;  ///< Start order of the run in the agent's session; zero: adopted.
   Time m_placed;
-  Time m_progressed;   ///< When the percentage last changed.
-  Time m_not_before;   ///< Earliest next start.
-  ServingBase m_base;  ///< Serving tasks only.
-  Time m_slow_since;   ///< Since when a filling task gets a small share; epoch: it does not.
+  Time m_progressed;     ///< When the percentage last changed.
+  Time m_not_before;     ///< Earliest next start.
+  ServingBase m_base;    ///< Serving tasks only.
+  Time m_slow_since;     ///< Since when a filling task gets a small share; epoch: it does not.
+  Time m_place_checked;  ///< When a better place for it was last looked for.
   std::string m_checkpoint;
   std::vector<AgentId> m_failed_on;
 };
@@ -102,6 +111,9 @@
 struct StepState {
   std::vector<Task> m_tasks;
   std::uint32_t m_left = 0;  ///< Tasks that are not done.
+  Time m_blocked_until;      ///< No place was found for a filling task; not asked again before, or
+                             ///< before a worker was added.
+  std::uint64_t m_blocked_at = 0;  ///< Workers added by then.
   // Advice of the platform on workers that may run the step.
   bool m_advice_asked = false;
   Time m_advice_asked_at;
@@ -117,7 +129,9 @@
 struct Job {
   JobSpec m_spec;
   Time m_accepted;
-  Time m_last_ran;  ///< When a task of it was last placed.
+  Time m_last_ran;               ///< When a task of it was last placed.
+  Duration m_objective{};        ///< From acceptance: the stretched longest chain and the slack.
+  std::vector<Duration> m_rest;  ///< By step: estimated time of the longest chain from it on.
   WallMillis m_closed_at = 0;
   std::map<std::uint32_t, Occurrence> m_occurrences;  ///< Open ones.
   std::set<std::uint32_t> m_closed_occurrences;
@@ -160,6 +174,7 @@
   /// Runs there that no task accounts for; their room is not free.
   std::vector<TaskRef> m_strays;
   std::size_t m_serving = 0;  ///< Serving tasks held.
+  std::int64_t m_serving_cpu_millis = 0;
   std::int64_t m_ends_born = 0;
   std::uint64_t m_ends_seen = 0;
   std::uint64_t m_ends_recorded = 0;
@@ -195,6 +210,7 @@
   RunNumber m_run = 0;
   AgentId m_agent;
   std::string m_reason;
+  bool m_failure = false;  ///< Work or a worker was lost or failed by it.
 };
 
 struct CoordinatorCounters {
@@ -212,7 +228,10 @@
   Epoch m_epoch = 0;
   std::string m_rpc_address;  ///< Of this coordinator.
   std::map<JobId, Job> m_jobs;
+  std::set<JobId> m_open_jobs;  ///< Jobs that are not closed.
   std::map<AgentId, Agent> m_agents;
+  std::uint64_t m_workers_added = 0;  ///< Workers that became ready to take orders, so far.
+  AgentId m_next_compared;  ///< Where the next comparison of places for a filling task begins.
   /// Members of earlier epochs that have not reported in this one, with their addresses.
   std::map<AgentId, std::string> m_silent_members;
   Time m_silent_until;  ///< All grants of earlier epochs have ended by then.
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -34,7 +34,8 @@
 
 /// Returns whether a filling task that is slow at `agent` would get a far larger share on another
 /// worker that has room.
-[[nodiscard]] bool HasBetterPlace(const TaskNeed& need, const Agent& agent, Time now);
+[[nodiscard]] bool HasBetterPlace(Coordinator& state, const TaskNeed& need, const Agent& agent,
+                                  Time now);
 
 /// Returns the best worker that can take the task now, or null.
 [[nodiscard]] Agent* ChooseWorker(Coordinator& state, const TaskNeed& need, Time now);
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -23,7 +23,9 @@
     size.m_cpu_millis = 0;
   }
   agent.m_used = sign > 0 ? agent.m_used + size : agent.m_used - size;
-  if (run.m_serving) agent.m_serving += static_cast<std::size_t>(sign);
+  if (!run.m_serving) return;
+  agent.m_serving += static_cast<std::size_t>(sign);
+  agent.m_serving_cpu_millis += sign * run.m_size.m_cpu_millis;
 }
 
 Order& AddOrder(Agent& agent) {
@@ -52,6 +54,7 @@
 /// Begins the offered session: orders of the former one are void, because the agent has lost it.
 void BeginSession(Coordinator& state, Agent& agent) {
   agent.m_session = std::exchange(agent.m_offered, 0);
+  ++state.m_workers_added;
   agent.m_next_order = 1;
   agent.m_orders.clear();
   for (const auto& [ref, held] : agent.m_held) {
@@ -107,12 +110,21 @@
 /// Ends the held runs that the agent would have listed if they were there.
 void EndMissing(Coordinator& state, const Time now, Agent& agent, const AgentReport& report,
                 const bool new_session) {
-  std::set<std::pair<TaskRef, RunNumber>> listed;
-  for (const auto& run : report.m_runs) listed.emplace(run.m_task, run.m_run);
+  const auto by_task = [](const RunStatus* a, const RunStatus* b) { return a->m_task < b->m_task; };
+  std::vector<const RunStatus*> listed;
+  listed.reserve(report.m_runs.size());
+  for (const auto& run : report.m_runs) listed.push_back(&run);
+  std::sort(listed.begin(), listed.end(), by_task);
+  const auto lists = [&](const TaskRef& ref, const RunNumber run) {
+    const RunStatus wanted{.m_task = ref};
+    const auto range = std::equal_range(listed.begin(), listed.end(), &wanted, by_task);
+    return std::any_of(range.first, range.second,
+                       [run](const RunStatus* status) { return status->m_run == run; });
+  };
   std::vector<TaskRef> missing;
   for (const auto& [ref, held] : agent.m_held) {
     const Task* const task = FindTask(state, ref);
-    if (task != nullptr && listed.count({ref, task->m_run}) > 0) continue;
+    if (task != nullptr && lists(ref, task->m_run)) continue;
     if (task == nullptr || new_session || task->m_order <= report.m_last_order) {
       missing.push_back(ref);
     }
@@ -384,6 +396,8 @@
   if (task.m_stopping || task.m_slow_since == Time{}) return;
   const auto& options = state.m_options;
   if (now - std::max(task.m_slow_since, task.m_placed) < options.m_move_after) return;
+  if (now - task.m_place_checked < options.m_place_check_interval) return;
+  task.m_place_checked = now;
   const Job& job = state.m_jobs.at(ref.m_job);
   const StepSpec& spec = job.m_spec.m_steps[ref.m_step];
   if (!spec.m_checkpointing && task.m_percent > options.m_movable_percent) return;
@@ -393,7 +407,7 @@
                       .m_step = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step],
                       .m_ref = ref,
                       .m_task = task};
-  if (!HasBetterPlace(need, agent, now)) return;
+  if (!HasBetterPlace(state, need, agent, now)) return;
   OrderStop(state, ref, task, "slow here, and a better place is free");
 }
 
@@ -423,9 +437,8 @@
       EndGrant(state, now, agent);
       continue;
     }
-    std::vector<TaskRef> held;
-    for (const auto& [ref, run] : agent.m_held) held.push_back(ref);
-    for (const auto& ref : held) {
+    // Orders to stop leave the runs held until their ends are reported.
+    for (const auto& [ref, run] : agent.m_held) {
       Task* const task = FindTask(state, ref);
       if (task == nullptr) continue;
       CheckStall(state, now, ref, *task);
@@ -438,7 +451,7 @@
       DropMember(state, member);
       auto& agent = state.m_agents[member];
       agent.m_recorded = agent.m_record_asked = false;
-      Decide(state, "member removed", {}, 0, member, "silent since the coordinator changed");
+      DecideFailure(state, "member removed", {}, 0, member, "silent since the coordinator changed");
     }
     state.m_silent_members.clear();
   }
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -10,6 +10,9 @@
 
 [[nodiscard]] Job* FindJob(Coordinator& state, const JobId& job) noexcept;
 
+/// Keeps what does not change while the job is open, so that a plan need not compute it.
+void NoteChains(Job& job);
+
 /// Creates the tasks of an occurrence that has become due.
 void OpenOccurrence(Job& job, std::uint32_t number);
 
@@ -43,6 +46,10 @@
 /// Takes the news that a run is gone without an end of its own.
 void OnLost(Coordinator& state, Time now, const TaskRef& ref, Task& task, std::string reason);
 
+/// Notes a decision by which work or a worker was lost or failed.
+void DecideFailure(Coordinator& state, std::string_view what, const TaskRef& ref, RunNumber run,
+                   const AgentId& agent, std::string reason);
+
 void Decide(Coordinator& state, std::string_view what, const TaskRef& ref, RunNumber run,
             const AgentId& agent, std::string reason);
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -22,16 +22,16 @@
 
 std::uint64_t CountPending(const Coordinator& state, const QueueName& queue) {
   return static_cast<std::uint64_t>(
-      std::count_if(state.m_jobs.begin(), state.m_jobs.end(), [&](const auto& entry) {
-        const Job& job = entry.second;
-        return job.m_recorded && !job.m_begun && !job.m_closed &&
-               job.m_spec.m_policy.m_queue == queue;
+      std::count_if(state.m_open_jobs.begin(), state.m_open_jobs.end(), [&](const JobId& id) {
+        const Job& job = state.m_jobs.at(id);
+        return job.m_recorded && !job.m_begun && job.m_spec.m_policy.m_queue == queue;
       }));
 }
 
 void Close(Coordinator& state, Job& job, const JobPhase phase) {
   job.m_closed = true;
   job.m_phase = phase;
+  state.m_open_jobs.erase(job.m_spec.m_id);
   state.m_unwritten_progress.insert(job.m_spec.m_id);
 }
 
@@ -95,11 +95,11 @@
   ++task.m_failures;
   task.m_failed_on.push_back(failed_on);
   if (!known_bad && OnFailure(agent.m_health, now, state.m_options.m_health)) {
-    Decide(state, "worker put aside", end.m_task, end.m_run, failed_on, "its runs fail");
+    DecideFailure(state, "worker put aside", end.m_task, end.m_run, failed_on, "its runs fail");
   }
   if (spec.m_long_running || task.m_failures < job.m_spec.m_policy.m_attempts) return;
-  Decide(state, "job failed", end.m_task, end.m_run, failed_on,
-         std::to_string(task.m_failures) + " failed attempts");
+  DecideFailure(state, "job failed", end.m_task, end.m_run, failed_on,
+                std::to_string(task.m_failures) + " failed attempts");
   Close(state, job, JobPhase::kFailed);
   StopJob(state, job, "job failed");
 }
@@ -142,6 +142,12 @@
                                .m_reason = std::move(reason)});
 }
 
+void DecideFailure(Coordinator& state, const std::string_view what, const TaskRef& ref,
+                   const RunNumber run, const AgentId& agent, std::string reason) {
+  Decide(state, what, ref, run, agent, std::move(reason));
+  state.m_decisions.back().m_failure = true;
+}
+
 void StopJob(Coordinator& state, Job& job, const std::string& reason) {
   for (auto& [number, occurrence] : job.m_occurrences) {
     for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
@@ -159,7 +165,7 @@
 void OnLost(Coordinator& state, const Time now, const TaskRef& ref, Task& task,
             std::string reason) {
   ++state.m_counters.m_lost;
-  Decide(state, "run lost", ref, task.m_run, task.m_agent, std::move(reason));
+  DecideFailure(state, "run lost", ref, task.m_run, task.m_agent, std::move(reason));
   Release(state, ref, task);
   task.m_not_before = now + state.m_options.m_refusal_delay;
 }
@@ -221,6 +227,8 @@
       auto& added = state.m_jobs[call.m_job.m_id];
       added.m_spec = call.m_job;
       added.m_accepted = added.m_last_ran = now;
+      NoteChains(added);
+      state.m_open_jobs.insert(call.m_job.m_id);
       if (added.m_spec.m_times == 0) {
         OpenOccurrence(added, 0);
         added.m_next_occurrence = 1;
@@ -270,6 +278,8 @@
   restored.m_accepted = restored.m_last_ran = now;
   restored.m_recorded = true;
   restored.m_inherited = true;
+  NoteChains(restored);
+  state.m_open_jobs.insert(restored.m_spec.m_id);
   if (restored.m_spec.m_times == 0) {
     OpenOccurrence(restored, 0);
     restored.m_next_occurrence = 1;
@@ -284,6 +294,7 @@
   job->m_cancelled = progress.m_cancelled;
   if (progress.m_closed) {
     job->m_closed = true;
+    state.m_open_jobs.erase(progress.m_job);
     job->m_closed_at = progress.m_closed_at;
     job->m_phase = job->m_shown = progress.m_phase;
     job->m_occurrences.clear();
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -63,9 +63,11 @@
   }
 }
 
-void AddReady(std::vector<ReadyStep>& ready, Job& job, const Time now) {
+void AddReady(std::vector<ReadyStep>& ready, Job& job, const Time now,
+              const std::uint64_t workers_added) {
   for (const auto& [number, occurrence] : job.m_occurrences) {
     for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+      if (occurrence.m_steps[step].m_left == 0) continue;
       const auto& tasks = occurrence.m_steps[step].m_tasks;
       const bool runs = std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
         return task.m_phase == TaskPhase::kPlaced;
@@ -75,19 +77,20 @@
         return task.m_phase == TaskPhase::kWaiting && task.m_not_before <= now;
       });
       if (!waits || !IsStepReady(job.m_spec, occurrence, step)) continue;
-      const auto& policy = job.m_spec.m_policy;
-      const Duration due =
-          std::chrono::duration_cast<Duration>(policy.m_stretch * LongestChain(job.m_spec)) +
-          policy.m_objective;
-      const Duration rest = ChainFrom(job.m_spec, step);
-      const Time late = job.m_accepted + std::chrono::duration_cast<Duration>(kLateFactor * due);
+      const StepState& state_of_step = occurrence.m_steps[step];
+      if (state_of_step.m_blocked_until > now && state_of_step.m_blocked_at == workers_added) {
+        continue;
+      }
+      const Duration rest = job.m_rest[step];
+      const Time late =
+          job.m_accepted + std::chrono::duration_cast<Duration>(kLateFactor * job.m_objective);
       ready.push_back({.m_job = &job,
                        .m_occurrence = number,
                        .m_step = step,
-                       .m_priority = policy.m_priority,
+                       .m_priority = job.m_spec.m_policy.m_priority,
                        .m_late = !job.m_spec.m_steps[step].m_long_running &&
                                  job.m_spec.m_times == 0 && now + rest > late,
-                       .m_latest_start = job.m_accepted + due - rest});
+                       .m_latest_start = job.m_accepted + job.m_objective - rest});
     }
   }
 }
@@ -111,9 +114,44 @@
   agent.m_orders.push_back(std::move(order));
   Hold(state, agent, need.m_ref, task);
   ++state.m_counters.m_starts;
-  Decide(state, "run placed", need.m_ref, run, agent.m_id,
-         "committed " + std::to_string(agent.m_used.m_cpu_millis) + " of " +
-             std::to_string(agent.m_worker.m_capacity.m_cpu_millis));
+}
+
+/// Neighbouring tasks of a step that were placed on one worker, for the log.
+struct PlacedTasks {
+  std::uint32_t m_first = 0;
+  std::uint32_t m_last = 0;
+  RunNumber m_run = 0;
+  const Agent* m_agent = nullptr;
+};
+
+void NotePlaced(std::vector<PlacedTasks>& placed, const std::uint32_t index, const RunNumber run,
+                const Agent& agent) {
+  if (!placed.empty() && placed.back().m_last + 1 == index && placed.back().m_run == run &&
+      placed.back().m_agent == &agent) {
+    placed.back().m_last = index;
+    return;
+  }
+  placed.push_back({.m_first = index, .m_last = index, .m_run = run, .m_agent = &agent});
+}
+
+/// Notes all that one plan placed of a step as one decision: a line a task would be more than the
+/// log takes on a site of hundreds of workers.
+void DecidePlaced(Coordinator& state, TaskRef step, const std::vector<PlacedTasks>& placed) {
+  if (placed.empty()) return;
+  std::uint32_t count = 0;
+  std::string where;
+  for (const auto& tasks : placed) {
+    count += tasks.m_last - tasks.m_first + 1;
+    where += (where.empty() ? "" : ", ") + std::to_string(tasks.m_first);
+    if (tasks.m_last > tasks.m_first) where += "-" + std::to_string(tasks.m_last);
+    where += " run " + std::to_string(tasks.m_run) + " at " + tasks.m_agent->m_id.m_value +
+             " (committed " + std::to_string(tasks.m_agent->m_used.m_cpu_millis) + " of " +
+             std::to_string(tasks.m_agent->m_worker.m_capacity.m_cpu_millis) + ")";
+  }
+  const auto& first = placed.front();
+  step.m_index = first.m_first;
+  Decide(state, "runs placed", step, first.m_run, first.m_agent->m_id,
+         std::to_string(count) + " tasks: " + where);
 }
 
 /// Run numbers of one epoch are larger than those of all earlier ones, because a placement that no
@@ -127,6 +165,7 @@
   Job& job = *ready.m_job;
   StepState& step = job.m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
   const StepSpec& spec = job.m_spec.m_steps[ready.m_step];
+  std::vector<PlacedTasks> placed;
   for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
     Task& task = step.m_tasks[i];
     if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) continue;
@@ -143,14 +182,22 @@
                         .m_task = task};
     Agent* const agent = ChooseWorker(state, need, now);
     if (agent == nullptr) {
+      if (spec.m_fills) {
+        step.m_blocked_until = now + state.m_options.m_blocked_delay;
+        step.m_blocked_at = state.m_workers_added;
+      }
       // Tasks of a step are alike, but where some failed on the only workers with room.
-      if (task.m_failed_on.empty()) return;
+      if (task.m_failed_on.empty()) break;
       continue;
     }
     Start(state, now, *agent, need, task, NextRun(state, task.m_run));
+    NotePlaced(placed, i, task.m_run, *agent);
     job.m_begun = true;
     job.m_last_ran = now;
   }
+  DecidePlaced(
+      state, {.m_job = job.m_spec.m_id, .m_occurrence = ready.m_occurrence, .m_step = ready.m_step},
+      placed);
 }
 
 /// Starts all members of a gang, or none: a part of a gang would wait for the others in vain.
@@ -195,10 +242,13 @@
   for (const auto& [agent, ref] : held) Release(state, ref, step.m_tasks[ref.m_index]);
   if (!complete) return;
   const RunNumber run = NextRun(state, last);
+  std::vector<PlacedTasks> placed;
   for (const auto& [agent, ref] : held) {
     step.m_tasks[ref.m_index].m_checkpoint = checkpoint;
     Start(state, now, *agent, need_of(ref.m_index), step.m_tasks[ref.m_index], run);
+    NotePlaced(placed, ref.m_index, run, *agent);
   }
+  DecidePlaced(state, ref_of(0), placed);
   job.m_begun = true;
   job.m_last_ran = now;
 }
@@ -249,14 +299,26 @@
   found.m_tickets = std::move(tickets);
 }
 
+void NoteChains(Job& job) {
+  const auto& policy = job.m_spec.m_policy;
+  job.m_objective =
+      std::chrono::duration_cast<Duration>(policy.m_stretch * LongestChain(job.m_spec)) +
+      policy.m_objective;
+  job.m_rest.clear();
+  for (std::uint32_t step = 0; step < job.m_spec.m_steps.size(); ++step) {
+    job.m_rest.push_back(ChainFrom(job.m_spec, step));
+  }
+}
+
 void Plan(Coordinator& state, const Time now, const WallMillis wall) {
   std::vector<ReadyStep> ready;
-  for (auto& [id, job] : state.m_jobs) {
-    if (job.m_closed || !job.m_recorded) continue;
+  for (const auto& id : state.m_open_jobs) {
+    Job& job = state.m_jobs.at(id);
+    if (!job.m_recorded) continue;
     OpenDue(job, wall);
     // A task of an inherited job may run at a member that has not reported yet.
     if (job.m_inherited && !state.m_silent_members.empty()) continue;
-    AddReady(ready, job, now);
+    AddReady(ready, job, now, state.m_workers_added);
   }
   std::stable_sort(ready.begin(), ready.end(), ComesBefore);
   for (const auto& step : ready) {
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -94,6 +94,7 @@
   for (const auto& id : batch.m_members) {
     auto& agent = state.m_agents.at(id);
     agent.m_recorded = agent.m_record_asked;
+    ++state.m_workers_added;
   }
   for (const auto& ends : batch.m_ends) {
     auto& agent = state.m_agents.at(ends.m_agent);
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -90,12 +90,8 @@
 
 /// Returns the thousandths of processors that tasks with a reservation are expected to leave.
 std::int64_t LeftOverCpu(const Coordinator& state, const Agent& agent) noexcept {
-  std::int64_t serving = 0;
-  for (const auto& [ref, held] : agent.m_held) {
-    if (held.m_serving) serving += held.m_size.m_cpu_millis;
-  }
   const auto unused = static_cast<std::int64_t>((1.0 - state.m_options.m_serving_use) *
-                                                static_cast<double>(serving));
+                                                static_cast<double>(agent.m_serving_cpu_millis));
   return agent.m_worker.m_capacity.m_cpu_millis - agent.m_used.m_cpu_millis + unused;
 }
 
@@ -139,14 +135,38 @@
          need.m_step.m_tickets.count(agent.m_worker.m_id) > 0;
 }
 
-bool HasBetterPlace(const TaskNeed& need, const Agent& agent, const Time now) {
-  const auto& state = need.m_state;
-  return std::any_of(state.m_agents.begin(), state.m_agents.end(), [&](const auto& entry) {
-    const Agent& other = entry.second;
-    return other.m_id != agent.m_id && IsEligible(need, other) && HasRoom(need, other) &&
-           !IsPaused(other.m_health, now) &&
-           ExpectedShare(need, other, now) >= state.m_options.m_good_share;
+namespace {
+
+/// Calls `visit` with places that have room, until it returns false. For a filling task these are
+/// at most the places that one comparison may cost, beginning after those of the last one.
+template <typename F>
+void VisitPlaces(Coordinator& state, const TaskNeed& need, F visit) {
+  if (state.m_agents.empty()) return;
+  const bool bounded = need.m_spec.m_fills;
+  auto place = bounded ? state.m_agents.lower_bound(state.m_next_compared) : state.m_agents.begin();
+  std::size_t compared = 0;
+  for (std::size_t i = 0; i < state.m_agents.size(); ++i, ++place) {
+    if (place == state.m_agents.end()) place = state.m_agents.begin();
+    Agent& agent = place->second;
+    if (!IsEligible(need, agent) || !HasRoom(need, agent)) continue;
+    if (bounded && compared++ == state.m_options.m_compared_places) {
+      state.m_next_compared = place->first;
+      return;
+    }
+    if (!visit(agent)) return;
+  }
+}
+
+}  // namespace
+
+bool HasBetterPlace(Coordinator& state, const TaskNeed& need, const Agent& agent, const Time now) {
+  bool found = false;
+  VisitPlaces(state, need, [&](const Agent& other) {
+    found = other.m_id != agent.m_id && !IsPaused(other.m_health, now) &&
+            ExpectedShare(need, other, now) >= state.m_options.m_good_share;
+    return !found;
   });
+  return found;
 }
 
 Agent* ChooseWorker(Coordinator& state, const TaskNeed& need, const Time now) {
@@ -158,15 +178,16 @@
   const bool waits = need.m_spec.m_fills && now - need.m_job.m_last_ran < options.m_patience;
   Agent* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
-  for (auto& [id, agent] : state.m_agents) {
-    if (!IsEligible(need, agent) || !HasRoom(need, agent)) continue;
+  VisitPlaces(state, need, [&](Agent& agent) {
     const double share = ExpectedShare(need, agent, now);
-    if (waits && share < options.m_least_share) continue;
+    if (waits && share < options.m_least_share) return true;
     const double cost = Cost(need, agent, rack, share, now);
-    if (cost >= best_cost) continue;
-    best_cost = cost;
-    best = &agent;
-  }
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = &agent;
+    }
+    return true;
+  });
   return best;
 }
 
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -242,6 +242,7 @@
   CPPUNIT_TEST(AReportOfAFormerSessionEndsNothing);
   CPPUNIT_TEST(AnOvertakenReportAdoptsNothing);
   CPPUNIT_TEST(ATaskWaitsForItsStrayRun);
+  CPPUNIT_TEST(AStepOfManyTasksIsOneLine);
   CPPUNIT_TEST(AStrayRunIsStopped);
   CPPUNIT_TEST(ARunIsLostWhenItsAgentListsAnEarlierOne);
   CPPUNIT_TEST(NoWorkerIsFilledBeyondItsCapacity);
@@ -379,6 +380,23 @@
     CPPUNIT_ASSERT_EQUAL(RunNumber{3}, site.Starts().at(0).second.m_run);
   }
 
+  /// Guards against a log that drops the placements of a site of hundreds of workers: at a crest of
+  /// 900 starts a second, a line a task left two thirds of them out.
+  void AStepOfManyTasksIsOneLine() {
+    Site site;
+    site.Join("a");
+    site.Join("b");
+    site.Accept(MakeJob("j", 8));
+    site.m_state.m_decisions.clear();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, site.Starts().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.m_state.m_decisions.size());
+    const auto& decision = site.m_state.m_decisions[0];
+    CPPUNIT_ASSERT_EQUAL(std::string{"runs placed"}, std::string{decision.m_what});
+    CPPUNIT_ASSERT(decision.m_reason.starts_with("8 tasks: 0"));
+    CPPUNIT_ASSERT(decision.m_reason.find(" at a (committed ") != std::string::npos);
+    CPPUNIT_ASSERT(decision.m_reason.find(" at b (committed ") != std::string::npos);
+  }
+
   /// Guards against work that nobody accounts for and that runs until its lease ends.
   void AStrayRunIsStopped() {
     Site site;
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -191,6 +191,7 @@
   CPPUNIT_TEST(UrgentWorkFindsRoomAtTheCrest);
   CPPUNIT_TEST(ServingTasksOfOneImageShareWorkers);
   CPPUNIT_TEST(AFillingTaskStaysAwayFromWhatItDisturbs);
+  CPPUNIT_TEST(AGoodPlaceAmongManyIsFound);
   CPPUNIT_TEST(ASlowFillingTaskMovesToWhereItIsHarmless);
   CPPUNIT_TEST(AJobWithNothingRunningTakesAnyPlace);
   CPPUNIT_TEST(WorkThatIsTooLateLetsOthersPass);
@@ -235,6 +236,36 @@
     CPPUNIT_ASSERT_EQUAL(std::string{"b"}, site.Starts().at(0).first);
   }
 
+  /// Replays a site of hundreds of workers on which nearly every place is disturbed: one plan
+  /// compares a bounded number of places, and the good one is still found within a second.
+  void AGoodPlaceAmongManyIsFound() {
+    Site site;
+    const auto places = 5 * site.m_state.m_options.m_compared_places;
+    for (std::size_t i = 0; i < places; ++i) site.Join("a" + std::to_string(1000 + i));
+    auto watch = MakeServingJob("watch", static_cast<std::uint32_t>(places), {"watch"});
+    watch.m_steps[0].m_max_per_worker = 1;
+    site.Accept(watch);
+    CPPUNIT_ASSERT_EQUAL(places, site.Starts().size());
+    site.m_state.m_pairs.m_pairs[{{"watch"}, {"press"}}] = {.m_extra = 3.0,
+                                                            .m_learned = site.m_now};
+    site.Join("z");
+    site.Accept(MakeFillingJob("press", 1, {"press"}));
+    for (int plans = 0; plans < 25; ++plans) {
+      const auto compared = site.m_state.m_next_compared;
+      const auto starts = site.Starts();
+      if (!starts.empty()) {
+        CPPUNIT_ASSERT_EQUAL(std::string{"z"}, starts[0].first);
+        return;
+      }
+      CPPUNIT_ASSERT(site.m_state.m_next_compared != compared);
+      const auto blocked = site.m_state.m_next_compared;
+      CPPUNIT_ASSERT(site.Starts().empty());
+      CPPUNIT_ASSERT(site.m_state.m_next_compared == blocked);
+      site.Pass(site.m_state.m_options.m_blocked_delay);
+    }
+    CPPUNIT_FAIL("the good place was not found");
+  }
+
   /// Guards against a certificate that is done but for one task, which crawls beside a serving task
   /// while other workers have room (association's quiet-1: 8 of 26 certificates late).
   void ASlowFillingTaskMovesToWhereItIsHarmless() {
--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -88,6 +88,7 @@
 inline const Event kCallAnswered = DefineEvent(611, EventLevel::kInfo, "call answered");
 inline const Event kRunCalled = DefineEvent(612, EventLevel::kInfo, "worker call answered");
 inline const Event kRunEnded = DefineEvent(613, EventLevel::kInfo, "run ended");
+inline const Event kRunFailure = DefineEvent(614, EventLevel::kWarn, "run or worker failed");
 inline const Event kWorkerState = DefineEvent(620, EventLevel::kInfo, "worker state changed");
 inline const Event kHeartbeatRefused = DefineEvent(621, EventLevel::kWarn, "heartbeat refused");
 inline const Event kGrantState = DefineEvent(622, EventLevel::kInfo, "grant state changed");
--- a/packages/daemon/src/events.cc
+++ b/packages/daemon/src/events.cc
@@ -101,16 +101,18 @@
   if (!spdlog::should_log(level)) return;
   static std::mutex mutex;
   static LogBudget budget;
-  std::uint64_t dropped = 0;
+  std::string dropped;
   {
     const std::lock_guard lock(mutex);
     const auto now = std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
-    if (!TakeEvent(budget, now)) return;
-    dropped = std::exchange(budget.m_dropped, 0);
+    const auto weight =
+        event.m_level >= EventLevel::kWarn ? EventWeight::kFailure : EventWeight::kRoutine;
+    if (!TakeEvent(budget, now, event.m_number, weight)) return;
+    dropped = TakeDropped(budget);
   }
-  if (dropped > 0) {
+  if (!dropped.empty()) {
     spdlog::log(ToSpdlog(kEventsDropped.m_level), "{}",
-                FormatEvent(kEventsDropped, {{"count", dropped}}));
+                FormatEvent(kEventsDropped, {{"events", dropped}}));
   }
   spdlog::log(level, "{}", FormatEvent(event, fields));
 }
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -1,5 +1,6 @@
 #include "coordinator_service.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -22,6 +23,10 @@
 
 /// Events of one burst are planned together; short against a task of half a second.
 constexpr auto kPumpDelay = 3ms;
+/// Pause after planning, in multiples of the time it took: leaves most of the processor to reports
+/// and calls, however many workers and jobs a plan has to look at.
+constexpr int kPumpPause = 2;
+constexpr core::Duration kLongestPumpPause = 50ms;
 /// Between two appends, so that records of a burst share a call; each call costs 2 ms at the store.
 constexpr auto kAppendInterval = 12ms;
 constexpr auto kAppendRetry = 100ms;
@@ -117,9 +122,12 @@
 
 void CoordinatorService::SchedulePump() {
   if (std::exchange(m_pump_scheduled, true)) return;
-  m_events->At(Now() + kPumpDelay, [this] {
+  m_events->At(std::max(Now() + kPumpDelay, m_next_pump), [this] {
     m_pump_scheduled = false;
+    const auto began = Now();
     Pump();
+    const auto ended = Now();
+    m_next_pump = ended + std::min<core::Duration>(kPumpPause * (ended - began), kLongestPumpPause);
   });
 }
 
@@ -270,12 +278,12 @@
 
 void CoordinatorService::LogDecisions() {
   for (const auto& decision : std::exchange(m_state.m_decisions, {})) {
-    LogEvent(kRunDecision, {{"what", decision.m_what},
-                            {"task", TaskText(decision.m_task)},
-                            {"run", decision.m_run},
-                            {"agent", decision.m_agent.m_value},
-                            {"epoch", m_state.m_epoch},
-                            {"why", decision.m_reason}});
+    LogEvent(decision.m_failure ? kRunFailure : kRunDecision, {{"what", decision.m_what},
+                                                               {"task", TaskText(decision.m_task)},
+                                                               {"run", decision.m_run},
+                                                               {"agent", decision.m_agent.m_value},
+                                                               {"epoch", m_state.m_epoch},
+                                                               {"why", decision.m_reason}});
   }
 }
 
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -119,6 +119,7 @@
   std::atomic<bool> m_standing{false};  ///< A member of the group, or about to be one.
   std::atomic<bool> m_leaving{false};
   bool m_pump_scheduled = false;
+  core::Time m_next_pump;  ///< Not pumped before.
   std::list<Waiter> m_waiters;
   std::set<core::AgentId> m_sending;                 ///< Agents with a call of orders in flight.
   std::map<core::AgentId, core::Time> m_send_after;  ///< Pause after a failed call.
