Log when a step begins to wait, and why

Cause: a filling step that waits for seconds could not be explained from the log: without room, or because every place would give it too small a share.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -111,6 +111,7 @@
 struct StepState {
   std::vector<Task> m_tasks;
   std::uint32_t m_left = 0;  ///< Tasks that are not done.
+  bool m_waits = false;      ///< The last plan found no place for one of its tasks.
   Time m_blocked_until;      ///< No place was found for a filling task; not asked again before, or
                              ///< before a worker was added.
   std::uint64_t m_blocked_at = 0;  ///< Workers added by then.
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -37,7 +37,17 @@
 [[nodiscard]] bool HasBetterPlace(Coordinator& state, const TaskNeed& need, const Agent& agent,
                                   Time now);
 
-/// Returns the best worker that can take the task now, or null.
-[[nodiscard]] Agent* ChooseWorker(Coordinator& state, const TaskNeed& need, Time now);
+/// Why workers were passed over in a choice.
+struct PassedOver {
+  std::size_t m_ineligible = 0;   ///< Not ready, of another service, or without the label.
+  std::size_t m_full = 0;         ///< Without room.
+  std::size_t m_small_share = 0;  ///< Would give a filling task too small a share.
+
+  friend bool operator==(const PassedOver&, const PassedOver&) = default;
+};
+
+/// Returns the best worker that can take the task now, or null; counts the others in `passed_over`.
+[[nodiscard]] Agent* ChooseWorker(Coordinator& state, const TaskNeed& need, Time now,
+                                  PassedOver& passed_over);
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -154,6 +154,20 @@
          std::to_string(count) + " tasks: " + where);
 }
 
+/// Notes that a step begins to wait for room, and why.
+void DecideWaiting(Coordinator& state, StepState& step, const TaskRef& ref,
+                   const PassedOver& passed_over) {
+  if (std::exchange(step.m_waits, true)) return;
+  const auto waiting =
+      std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
+                    [](const Task& task) { return task.m_phase == TaskPhase::kWaiting; });
+  Decide(state, "step waits", ref, 0, {},
+         std::to_string(waiting) +
+             " tasks; workers passed over: " + std::to_string(passed_over.m_full) + " full, " +
+             std::to_string(passed_over.m_small_share) + " with too small a share, " +
+             std::to_string(passed_over.m_ineligible) + " not eligible");
+}
+
 /// Run numbers of one epoch are larger than those of all earlier ones, because a placement that no
 /// agent reports may still have used a number.
 RunNumber NextRun(const Coordinator& state, const RunNumber last) {
@@ -180,8 +194,10 @@
                         .m_step = step,
                         .m_ref = ref,
                         .m_task = task};
-    Agent* const agent = ChooseWorker(state, need, now);
+    PassedOver passed_over;
+    Agent* const agent = ChooseWorker(state, need, now, passed_over);
     if (agent == nullptr) {
+      DecideWaiting(state, step, ref, passed_over);
       if (spec.m_fills) {
         step.m_blocked_until = now + state.m_options.m_blocked_delay;
         step.m_blocked_at = state.m_workers_added;
@@ -192,6 +208,7 @@
     }
     Start(state, now, *agent, need, task, NextRun(state, task.m_run));
     NotePlaced(placed, i, task.m_run, *agent);
+    step.m_waits = false;
     job.m_begun = true;
     job.m_last_ran = now;
   }
@@ -232,8 +249,12 @@
   };
   // Holds room for each member first, so that the choice sees the members before it.
   for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
-    Agent* const agent = ChooseWorker(state, need_of(i), now);
-    if (agent == nullptr) break;
+    PassedOver passed_over;
+    Agent* const agent = ChooseWorker(state, need_of(i), now, passed_over);
+    if (agent == nullptr) {
+      DecideWaiting(state, step, ref_of(i), passed_over);
+      break;
+    }
     step.m_tasks[i].m_agent = agent->m_id;
     Hold(state, *agent, ref_of(i), step.m_tasks[i]);
     held.emplace_back(agent, ref_of(i));
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -140,7 +140,7 @@
 /// Calls `visit` with places that have room, until it returns false. For a filling task these are
 /// at most the places that one comparison may cost, beginning after those of the last one.
 template <typename F>
-void VisitPlaces(Coordinator& state, const TaskNeed& need, F visit) {
+void VisitPlaces(Coordinator& state, const TaskNeed& need, PassedOver& passed_over, F visit) {
   if (state.m_agents.empty()) return;
   const bool bounded = need.m_spec.m_fills;
   auto place = bounded ? state.m_agents.lower_bound(state.m_next_compared) : state.m_agents.begin();
@@ -148,7 +148,14 @@
   for (std::size_t i = 0; i < state.m_agents.size(); ++i, ++place) {
     if (place == state.m_agents.end()) place = state.m_agents.begin();
     Agent& agent = place->second;
-    if (!IsEligible(need, agent) || !HasRoom(need, agent)) continue;
+    if (!IsEligible(need, agent)) {
+      ++passed_over.m_ineligible;
+      continue;
+    }
+    if (!HasRoom(need, agent)) {
+      ++passed_over.m_full;
+      continue;
+    }
     if (bounded && compared++ == state.m_options.m_compared_places) {
       state.m_next_compared = place->first;
       return;
@@ -161,7 +168,8 @@
 
 bool HasBetterPlace(Coordinator& state, const TaskNeed& need, const Agent& agent, const Time now) {
   bool found = false;
-  VisitPlaces(state, need, [&](const Agent& other) {
+  PassedOver passed_over;
+  VisitPlaces(state, need, passed_over, [&](const Agent& other) {
     found = other.m_id != agent.m_id && !IsPaused(other.m_health, now) &&
             ExpectedShare(need, other, now) >= state.m_options.m_good_share;
     return !found;
@@ -169,7 +177,8 @@
   return found;
 }
 
-Agent* ChooseWorker(Coordinator& state, const TaskNeed& need, const Time now) {
+Agent* ChooseWorker(Coordinator& state, const TaskNeed& need, const Time now,
+                    PassedOver& passed_over) {
   std::string rack = need.m_spec.m_data_rack;
   if (rack.empty() && need.m_spec.m_same_rack) rack = RackOfStep(need);
   // A place with a small share is worse than the next one that comes free, but a job must not be
@@ -178,9 +187,12 @@
   const bool waits = need.m_spec.m_fills && now - need.m_job.m_last_ran < options.m_patience;
   Agent* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
-  VisitPlaces(state, need, [&](Agent& agent) {
+  VisitPlaces(state, need, passed_over, [&](Agent& agent) {
     const double share = ExpectedShare(need, agent, now);
-    if (waits && share < options.m_least_share) return true;
+    if (waits && share < options.m_least_share) {
+      ++passed_over.m_small_share;
+      return true;
+    }
     const double cost = Cost(need, agent, rack, share, now);
     if (cost < best_cost) {
       best_cost = cost;
