Give harmless filling tasks what paced ones leave unused

Cause: a worker counted as full of filling tasks by their declared sizes.

Change: the processors that filling tasks older than a second leave unused count as free for one that expects at least 0.7 of its processors there, which a task that disturbs the serving ones does not.

Test: AHarmlessFillingTaskTakesWhatPacedOnesLeave.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -73,6 +73,9 @@
   double m_slow_share = 0.6;
   /// Progress up to which a task without checkpoints is moved; it starts anew.
   std::uint32_t m_movable_percent = 20;
+  /// Age from which the processors in use by a filling task, a figure of the last half second, tell
+  /// what it leaves unused.
+  Duration m_telling_age = std::chrono::milliseconds{1000};
   /// Share that a filling task expects of a place that is worth a move.
   double m_good_share = 0.75;
   /// Share below which a filling task waits for a better place while others of its job run.
@@ -172,6 +175,9 @@
   std::map<TaskRef, HeldRun> m_held;
   Resources m_used;  ///< Without processors of filling tasks.
   std::int64_t m_filling_cpu_millis = 0;
+  /// Part of it that the filling tasks did not use at the last report, because they are paced or
+  /// read and write.
+  std::int64_t m_filling_idle_millis = 0;
   /// Runs there that no task accounts for; their room is not free.
   std::vector<TaskRef> m_strays;
   std::size_t m_serving = 0;  ///< Serving tasks held.
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -152,6 +152,21 @@
   }
 }
 
+/// Returns the thousandths of processors that listed filling tasks leave unused.
+std::int64_t IdleFillingCpu(Coordinator& state, const Time now, const Agent& agent,
+                            const AgentReport& report) {
+  std::int64_t idle = 0;
+  for (const auto& run : report.m_runs) {
+    const auto held = agent.m_held.find(run.m_task);
+    if (held == agent.m_held.end() || !held->second.m_fills) continue;
+    const Task* const task = FindTask(state, run.m_task);
+    if (task == nullptr || now - task->m_placed < state.m_options.m_telling_age) continue;
+    const auto used = static_cast<std::int64_t>(run.m_figure);
+    idle += std::max<std::int64_t>(held->second.m_size.m_cpu_millis - used, 0);
+  }
+  return idle;
+}
+
 /// Returns the processors in use by filling tasks, now and at the last lesson.
 std::vector<FillingLoad> FillingLoads(Agent& agent, const AgentReport& report, const bool learn) {
   std::map<ImageName, double> cores;
@@ -313,6 +328,7 @@
   DropStrays(state, agent);
   for (const auto& run : report.m_runs) OnRun(state, now, agent, run);
   EndMissing(state, now, agent, report, new_session);
+  agent.m_filling_idle_millis = IdleFillingCpu(state, now, agent, report);
   reply.m_pairs = Learn(state, now, agent, report);
   agent.m_granted = now;
   reply.m_session = agent.m_session;
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -95,6 +95,14 @@
   return agent.m_worker.m_capacity.m_cpu_millis - agent.m_used.m_cpu_millis + unused;
 }
 
+/// Returns whether the filling tasks there and this one, at their declared sizes, need more
+/// processors than are left over.
+bool IsOversubscribed(const TaskNeed& need, const Agent& agent) noexcept {
+  const auto wanted = agent.m_filling_cpu_millis + need.m_spec.m_size.m_cpu_millis;
+  return need.m_spec.m_fills && agent.m_filling_cpu_millis > 0 &&
+         wanted > LeftOverCpu(need.m_state, agent);
+}
+
 }  // namespace
 
 bool IsEligible(const TaskNeed& need, const Agent& agent) noexcept {
@@ -117,8 +125,9 @@
   Resources room = agent.m_worker.m_capacity - agent.m_used;
   if (spec.m_fills) {
     // More filling tasks than processors are left would all be slow; the first in order run fast.
-    if (agent.m_filling_cpu_millis > 0 &&
-        agent.m_filling_cpu_millis + size.m_cpu_millis > LeftOverCpu(need.m_state, agent)) {
+    if (IsOversubscribed(need, agent) &&
+        agent.m_filling_cpu_millis - agent.m_filling_idle_millis + size.m_cpu_millis >
+            LeftOverCpu(need.m_state, agent)) {
       return false;
     }
     size.m_cpu_millis = 0;
@@ -189,7 +198,8 @@
   double best_cost = std::numeric_limits<double>::infinity();
   VisitPlaces(state, need, passed_over, [&](Agent& agent) {
     const double share = ExpectedShare(need, agent, now);
-    if (waits && share < options.m_least_share) {
+    // What paced tasks leave unused is of use only to a task that disturbs nothing there.
+    if ((waits || IsOversubscribed(need, agent)) && share < options.m_least_share) {
       ++passed_over.m_small_share;
       return true;
     }
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -192,6 +192,7 @@
   CPPUNIT_TEST(ServingTasksOfOneImageShareWorkers);
   CPPUNIT_TEST(AFillingTaskStaysAwayFromWhatItDisturbs);
   CPPUNIT_TEST(AGoodPlaceAmongManyIsFound);
+  CPPUNIT_TEST(AHarmlessFillingTaskTakesWhatPacedOnesLeave);
   CPPUNIT_TEST(ASlowFillingTaskMovesToWhereItIsHarmless);
   CPPUNIT_TEST(AJobWithNothingRunningTakesAnyPlace);
   CPPUNIT_TEST(WorkThatIsTooLateLetsOthersPass);
@@ -266,6 +267,35 @@
     CPPUNIT_FAIL("the good place was not found");
   }
 
+  /// Replays a worker whose filling tasks are paced down beside a serving task: they are counted at
+  /// their declared sizes, so that half of its processors stayed unused (courts, scale-1: 70 to 110
+  /// of the 160 to 180 processors that were given to filling tasks were in use).
+  void AHarmlessFillingTaskTakesWhatPacedOnesLeave() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeServingJob("watch", 1, {"watch"}));
+    auto& pairs = site.m_state.m_pairs.m_pairs;
+    pairs[{{"watch"}, {"press"}}] = {.m_extra = 0.0, .m_learned = site.m_now};
+    pairs[{{"watch"}, {"hammer"}}] = {.m_extra = 3.0, .m_learned = site.m_now};
+    pairs[{{"watch"}, {"brush"}}] = {.m_extra = 0.0, .m_learned = site.m_now};
+    site.Accept(MakeFillingJob("press", 3, {"press"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, site.Starts().size());
+    site.Accept(MakeFillingJob("hammer", 1, {"hammer"}));
+    site.Accept(MakeFillingJob("brush", 1, {"brush"}));
+    CPPUNIT_ASSERT(site.Starts().empty());
+    site.Pass(site.m_state.m_options.m_telling_age);
+    auto report = site.Report("a");
+    report.m_runs = {{.m_task = Ref("watch"), .m_run = 1, .m_percent = 100, .m_figure = 9.0}};
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      report.m_runs.push_back({.m_task = Ref("press", i), .m_run = 1, .m_figure = 400.0});
+    }
+    (void)OnReport(site.m_state, site.m_now, report);
+    site.Pass(1s);
+    const auto starts = site.Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT(starts[0].second.m_task == Ref("brush"));
+  }
+
   /// Guards against a certificate that is done but for one task, which crawls beside a serving task
   /// while other workers have room (association's quiet-1: 8 of 26 certificates late).
   void ASlowFillingTaskMovesToWhereItIsHarmless() {
