Ask for advice on workers with room first

Cause: a request for advice names 100 workers at most, and always named the first 100 by id. With more workers the others were never asked about and stood idle.

Change: workers with room come first; when no ticket is held for a worker with room, the next request names the workers with room that were not asked about. Answers add up while they are valid.

Test: AdviceIsAskedOnWorkersWithRoom (240 workers of which 120 are full).

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -123,6 +123,7 @@
   Time m_advice_asked_at;
   Time m_advice_until;
   std::map<WorkerId, std::string> m_tickets;
+  std::set<WorkerId> m_advised;  ///< Workers asked about while the tickets are valid.
 };
 
 struct Occurrence {
@@ -282,7 +283,8 @@
 void OnOrdersTaken(Coordinator& state, const AgentId& agent, std::uint64_t session,
                    std::uint64_t last_order);
 
-/// Takes an answer of the advice service: tickets by worker, valid until `until`.
+/// Takes an answer of the advice service: tickets by worker, valid until `until`. Adds them to
+/// those that are still valid.
 void OnAdvice(Coordinator& state, const TaskRef& step, std::map<WorkerId, std::string> tickets,
               Time until);
 
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -25,6 +25,9 @@
 /// Returns whether the worker may run the task at all, were it empty.
 [[nodiscard]] bool IsEligible(const TaskNeed& need, const Agent& agent) noexcept;
 
+/// Returns whether it has room for the task now, were it advised.
+[[nodiscard]] bool HasCapacity(const TaskNeed& need, const Agent& agent) noexcept;
+
 /// Returns whether it may run the task now.
 [[nodiscard]] bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept;
 
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -274,15 +274,41 @@
   job.m_last_ran = now;
 }
 
-/// Returns whether the step has valid tickets or needs none; asks for advice otherwise.
+/// Returns the workers to ask about next: those with room first, and none that were asked about.
+/// Empty while a ticket is held for a worker with room.
+std::vector<WorkerId> NextToAdvise(const Coordinator& state, const TaskNeed& need) {
+  constexpr std::size_t kMaxWorkersPerRequest = 100;  // Limit of the advice service.
+  std::vector<WorkerId> with_room;
+  std::vector<WorkerId> full;
+  for (const auto& [id, agent] : state.m_agents) {
+    if (!IsEligible(need, agent)) continue;
+    const WorkerId& worker = agent.m_worker.m_id;
+    const bool has_room = HasCapacity(need, agent);
+    if (need.m_step.m_tickets.count(worker) > 0) {
+      if (has_room) return {};
+    } else if (need.m_step.m_advised.count(worker) == 0) {
+      (has_room ? with_room : full).push_back(worker);
+    }
+  }
+  // After the first answer only a worker with room is worth the price of another call.
+  if (need.m_step.m_advised.empty()) with_room.insert(with_room.end(), full.begin(), full.end());
+  if (with_room.size() > kMaxWorkersPerRequest) with_room.resize(kMaxWorkersPerRequest);
+  return with_room;
+}
+
+/// Returns whether the step has valid tickets or needs none; asks for advice when it has none, or
+/// none for a worker with room.
 bool HasAdvice(Coordinator& state, const Time now, const ReadyStep& ready) {
   Job& job = *ready.m_job;
   if (!job.m_spec.m_policy.m_advised) return true;
   StepState& step = job.m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
-  if (now < step.m_advice_until) return true;
-  step.m_tickets.clear();
+  const bool valid = now < step.m_advice_until;
   if (step.m_advice_asked && now - step.m_advice_asked_at < state.m_options.m_advice_retry) {
-    return false;
+    return valid;
+  }
+  if (!valid) {
+    step.m_tickets.clear();
+    step.m_advised.clear();
   }
   AdviceRequest request{.m_step = {.m_job = job.m_spec.m_id,
                                    .m_occurrence = ready.m_occurrence,
@@ -293,17 +319,13 @@
                       .m_step = step,
                       .m_ref = request.m_step,
                       .m_task = step.m_tasks.front()};
-  constexpr std::size_t kMaxWorkersPerRequest = 100;  // Limit of the advice service.
-  for (const auto& [id, agent] : state.m_agents) {
-    if (request.m_workers.size() < kMaxWorkersPerRequest && IsEligible(need, agent)) {
-      request.m_workers.push_back(agent.m_worker.m_id);
-    }
-  }
-  if (request.m_workers.empty()) return false;
+  request.m_workers = NextToAdvise(state, need);
+  if (request.m_workers.empty()) return valid;
+  step.m_advised.insert(request.m_workers.begin(), request.m_workers.end());
   step.m_advice_asked = true;
   step.m_advice_asked_at = now;
   state.m_advice_requests.push_back(std::move(request));
-  return false;
+  return valid;
 }
 
 }  // namespace
@@ -316,8 +338,9 @@
   if (occurrence == job->m_occurrences.end()) return;
   StepState& found = occurrence->second.m_steps[step.m_step];
   found.m_advice_asked = false;
-  found.m_advice_until = until;
-  found.m_tickets = std::move(tickets);
+  // Tickets of an earlier answer end earlier; all of them are renewed then.
+  found.m_advice_until = found.m_tickets.empty() ? until : std::min(found.m_advice_until, until);
+  found.m_tickets.merge(tickets);
 }
 
 void NoteChains(Job& job) {
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -117,7 +117,7 @@
          worker.m_labels.end();
 }
 
-bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept {
+bool HasCapacity(const TaskNeed& need, const Agent& agent) noexcept {
   const auto& spec = need.m_spec;
   if (agent.m_orders.size() >= need.m_state.m_options.m_max_unconfirmed) return false;
   if (!agent.m_strays.empty()) return false;
@@ -137,9 +137,11 @@
                                   static_cast<double>(agent.m_worker.m_capacity.m_cpu_millis));
   }
   if (!Fits(size, room)) return false;
-  if (spec.m_max_per_worker > 0 && CountOfStep(agent, need.m_ref) >= spec.m_max_per_worker) {
-    return false;
-  }
+  return spec.m_max_per_worker == 0 || CountOfStep(agent, need.m_ref) < spec.m_max_per_worker;
+}
+
+bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept {
+  if (!HasCapacity(need, agent)) return false;
   return !need.m_job.m_spec.m_policy.m_advised ||
          need.m_step.m_tickets.count(agent.m_worker.m_id) > 0;
 }
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -195,6 +195,7 @@
   CPPUNIT_TEST(AHarmlessFillingTaskTakesWhatPacedOnesLeave);
   CPPUNIT_TEST(ASlowFillingTaskMovesToWhereItIsHarmless);
   CPPUNIT_TEST(AJobWithNothingRunningTakesAnyPlace);
+  CPPUNIT_TEST(AdviceIsAskedOnWorkersWithRoom);
   CPPUNIT_TEST(WorkThatIsTooLateLetsOthersPass);
   CPPUNIT_TEST_SUITE_END();
 
@@ -337,6 +338,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
   }
 
+  /// Replays a site on which more workers than one advice request may name are full: the others
+  /// stood idle, because always the first ones by id were asked about.
+  void AdviceIsAskedOnWorkersWithRoom() {
+    Site site;
+    constexpr std::size_t kWorkers = 240;
+    constexpr std::size_t kFull = 120;
+    for (std::size_t i = 0; i < kWorkers; ++i) site.Join("a" + std::to_string(1000 + i));
+    std::size_t filled = 0;
+    for (auto& [id, agent] : site.m_state.m_agents) {
+      if (filled++ < kFull) agent.m_used = agent.m_worker.m_capacity;
+    }
+    auto job = MakeJob("j", 2);
+    job.m_policy.m_advised = true;
+    site.Accept(job);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.m_state.m_advice_requests.size());
+    const auto first = std::exchange(site.m_state.m_advice_requests, {}).front();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, first.m_workers.size());
+    CPPUNIT_ASSERT(first.m_workers.front() >= WorkerId{"w-a" + std::to_string(1000 + kFull)});
+    // None of them may run the step: the next request names the others with room, once.
+    OnAdvice(site.m_state, first.m_step, {}, site.m_now + 10s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    const auto second = std::exchange(site.m_state.m_advice_requests, {}).front();
+    CPPUNIT_ASSERT_EQUAL(kWorkers - kFull - 100, second.m_workers.size());
+    OnAdvice(site.m_state, second.m_step, {{second.m_workers.back(), "ticket"}}, site.m_now + 10s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.Starts().size());
+    CPPUNIT_ASSERT(site.m_state.m_advice_requests.empty());
+  }
+
   /// Replays an overload in which serving the oldest first would make everything late.
   void WorkThatIsTooLateLetsOthersPass() {
     Site site;
