Keep workers free of serving tasks

No worker was free for filling tasks, which had 95 to 150 processors of the 250 that were unused, and 30 of 40 open jobs were late. Change: serving tasks fill up the workers that serve most; other tasks with a reservation, which disturb nobody, go to these workers first.

--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -11,7 +11,8 @@
 constexpr double kFailedThereCost = 1000.0;  // The task failed on this worker before.
 constexpr double kPausedCost = 200.0;        // Put aside: used only when there is no other.
 constexpr double kRackCost = 4.0;            // Away from the data or from the gang's rack.
-constexpr double kOtherImageCost = 3.0;      // Serving tasks of other images are there.
+constexpr double kOtherImageCost = 0.3;      // Serving tasks of other images are there.
+constexpr double kFreeWorkerCost = 3.0;      // No serving task is there: a place for filling ones.
 constexpr double kShareCost = 8.0;           // The whole share of a filling task.
 constexpr double kPairCost = 2.0;            // Each multiple of a serving task's utilisation.
 constexpr double kSlownessCost = 1.0;        // Each multiple of the estimated run time.
@@ -35,6 +36,10 @@
   return ShareOf(agent, agent.m_used.m_cpu_millis);
 }
 
+double ServingShare(const Agent& agent) noexcept {
+  return ShareOf(agent, agent.m_serving_cpu_millis);
+}
+
 /// Rack on which the first placed task of the step runs; empty when none is placed.
 std::string RackOfStep(const TaskNeed& need) {
   for (const auto& task : need.m_step.m_tasks) {
@@ -70,7 +75,8 @@
   const bool serving = spec.m_latency_target > Duration{};
   const auto& failed_on = need.m_task.m_failed_on;
   // Serving tasks fill up workers, so that others stay free of them.
-  double cost = serving ? -CommittedShare(agent) : CommittedShare(agent);
+  double cost = serving ? -ServingShare(agent) : CommittedShare(agent);
+  if (!spec.m_fills && agent.m_serving == 0) cost += kFreeWorkerCost;
   if (std::find(failed_on.begin(), failed_on.end(), agent.m_id) != failed_on.end()) {
     cost += kFailedThereCost;
   }
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -117,6 +117,8 @@
   CPPUNIT_TEST_SUITE(PlacementPolicyTest);
   CPPUNIT_TEST(UrgentWorkFindsRoomAtTheCrest);
   CPPUNIT_TEST(ServingTasksOfOneImageShareWorkers);
+  CPPUNIT_TEST(ServingTasksLeaveWorkersFree);
+  CPPUNIT_TEST(UrgentTasksLeaveFreeWorkersToFillingOnes);
   CPPUNIT_TEST(AFillingTaskStaysAwayFromWhatItDisturbs);
   CPPUNIT_TEST(AGoodPlaceAmongManyIsFound);
   CPPUNIT_TEST(AHarmlessFillingTaskTakesWhatPacedOnesLeave);
@@ -151,6 +153,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, used.size());
   }
 
+  /// Replays the start of a day with serving jobs of several images (courts, trouble-3: all eleven
+  /// workers served, with 267 of 400 processors reserved, and filling tasks had 100 of the rest).
+  void ServingTasksLeaveWorkersFree() {
+    Site site;
+    for (const auto* agent : {"a", "b", "c", "d"}) site.Join(agent);
+    std::set<std::string> used;
+    for (const auto* image : {"watch", "guard", "listen"}) {
+      site.Accept(MakeServingJob(image, 2, {image}));
+      for (const auto& [agent, start] : site.Starts()) used.insert(agent);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, used.size());
+  }
+
+  /// Replays previews at a crest beside serving tasks, which they do not disturb: on the workers
+  /// without serving tasks they would take the place of filling ones.
+  void UrgentTasksLeaveFreeWorkersToFillingOnes() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeServingJob("watch", 1, {"watch"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    site.Join("b");
+    site.Accept(MakeJob("preview", 4));
+    std::map<std::string, int> placed;
+    for (const auto& [agent, start] : site.Starts()) ++placed[agent];
+    CPPUNIT_ASSERT_EQUAL(3, placed["a"]);
+    CPPUNIT_ASSERT_EQUAL(1, placed["b"]);
+  }
+
   void AFillingTaskStaysAwayFromWhatItDisturbs() {
     Site site;
     site.Join("a");
