--- a/packages/core/src/fleet/image_pairs.cc
+++ b/packages/core/src/fleet/image_pairs.cc
@@ -15,8 +15,7 @@
 /// Three half-lives: little is left of the distance from the prior.
 constexpr auto kForgetAfter = std::chrono::minutes{15};
 constexpr double kLargestExtra = 100.0;
-/// The lowest latency is that of the trough of a load, which is some fifth of what a task can
-/// serve.
+/// Figures are rounded to whole ms, so the lowest one may be above the idle latency.
 constexpr double kIdleShare = 0.95;
 constexpr double kLargestLoad = 0.98;  // The model has no latency for a full server.
 /// Utilisation of a serving task in its trough; what exceeds it may be the filling tasks' doing.
