Look at a bounded number of a task's peers

Cause, by reading: for each figure of a serving task all tasks of its step were looked at, so that a report cost their square on a wide step. Change: 24 others, beginning behind the task.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -57,6 +57,8 @@
   Duration m_peer_age = std::chrono::milliseconds{900};
   /// Predicted growth by filling tasks up to which it does.
   double m_peer_extra = 0.3;
+  /// Other tasks that are looked at for one figure, so that a wide step does not cost more.
+  std::size_t m_most_peers = 24;
   /// Between two records of what was learned; a record is about 2 KB.
   Duration m_pairs_interval = std::chrono::seconds{5};
   /// Part of their committed processors that serving tasks use on average; the rest is left over
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -187,13 +187,14 @@
   constexpr double kLeastExtra = 0.05;  // Keeps the weight of an undisturbed task finite.
   const Job& job = state.m_jobs.at(ref.m_job);
   const auto& tasks = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step].m_tasks;
+  const auto& options = state.m_options;
+  const auto looked_at = std::min(tasks.size() - 1, options.m_most_peers);
   double sum = 0.0;
   double weights = 0.0;
-  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-    const auto& sample = tasks[i].m_sample;
-    if (i == ref.m_index || sample.m_at == Time{} ||
-        now - sample.m_at > state.m_options.m_peer_age ||
-        sample.m_extra > state.m_options.m_peer_extra) {
+  for (std::size_t i = 1; i <= looked_at; ++i) {
+    const auto& sample = tasks[(ref.m_index + i) % tasks.size()].m_sample;
+    if (sample.m_at == Time{} || now - sample.m_at > options.m_peer_age ||
+        sample.m_extra > options.m_peer_extra) {
       continue;
     }
     const double weight = 1.0 / ((sample.m_extra + kLeastExtra) * (sample.m_extra + kLeastExtra));
