--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -157,6 +157,7 @@
   std::sort(filling.begin(), filling.end(),
             [](const LocalRun* a, const LocalRun* b) { return a->m_arrival < b->m_arrival; });
   std::vector<FillingRun> runs;
+  runs.reserve(filling.size());
   for (const auto* run : filling) {
     runs.push_back({.m_image = run->m_order.m_image, .m_load = ShareOf(agent, FullCpu(*run))});
   }
