Estimate a serving task's own load only where peers do not show it

Found on reading the change: the smoothed estimate was computed and then overwritten by the load of the peers. It is now computed only without peers.

--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -231,8 +231,11 @@
         state.m_pairs_changed = true;
       }
       const double extra = PredictedExtra(state.m_pairs, image, filling, now);
-      UpdateBase(base, state.m_pairs, image, run.m_figure, extra);
-      if (peers) base.m_load = *peers;
+      if (peers) {
+        base.m_load = *peers;
+      } else {
+        UpdateBase(base, state.m_pairs, image, run.m_figure, extra);
+      }
       const double load = LoadAt(run.m_figure, IdleLatency(state.m_pairs, image));
       task.m_sample = {.m_alone = load / (1.0 + extra), .m_extra = extra, .m_at = now};
       serving.m_load = base.m_load;
