Say where the time of a late job went, and what the shares of a worker rest on

E614 'job late' (E610 'job done' for one on time) gives the time, the objective, the first start, the runs, and how long tasks waited and were held; failures keep their reserve in the log. E625 of an agent gives, once a second while a filling run is held back or a target missed, each serving run's latency, target and estimated load, each filling run's share and processors, and the pairs. Counters: jobs_done_total, jobs_late_total, filling_{full,partial,resting}_seconds_total, serving_missed_seconds_total. No decision is changed.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -119,6 +119,7 @@
   Time m_placed;
   Time m_progressed;       ///< When the percentage last changed.
   Time m_not_before;       ///< Earliest next start.
+  Time m_waits_since;      ///< End of its last run; epoch: there was none.
   ServingBase m_base;      ///< Serving tasks only.
   ServingSample m_sample;  ///< Serving tasks only: the newest figure.
   Time m_slow_since;       ///< Since when a filling task gets a small share; epoch: it does not.
@@ -131,6 +132,7 @@
   std::vector<Task> m_tasks;
   std::uint32_t m_left = 0;  ///< Tasks that are not done.
   bool m_waits = false;      ///< The last plan found no place for one of its tasks.
+  Time m_ready;              ///< When its turn came, as a plan saw it; epoch: it has not come.
   Time m_blocked_until;      ///< No place was found for a filling task; not asked again before, or
                              ///< before a worker was added.
   std::uint64_t m_blocked_at = 0;  ///< Workers added by then.
@@ -147,12 +149,23 @@
   std::uint32_t m_steps_left = 0;
 };
 
+/// Where the time of a job's tasks went, summed over its tasks, for the log.
+struct JobLife {
+  Time m_first_start;   ///< Epoch: nothing was started by this coordinator.
+  Duration m_waited{};  ///< Between a task's turn, or the end of its last run, and its start.
+  Duration m_held{};    ///< From starts to ends, at any share.
+  std::uint32_t m_runs = 0;
+
+  friend bool operator==(const JobLife&, const JobLife&) = default;
+};
+
 struct Job {
   JobSpec m_spec;
   Time m_accepted;
   Time m_last_ran;               ///< When a task of it was last placed.
   Duration m_objective{};        ///< From acceptance: the stretched longest chain and the slack.
   std::vector<Duration> m_rest;  ///< By step: estimated time of the longest chain from it on.
+  JobLife m_life;
   WallMillis m_closed_at = 0;
   std::map<std::uint32_t, Occurrence> m_occurrences;  ///< Open ones.
   std::set<std::uint32_t> m_closed_occurrences;
@@ -245,6 +258,8 @@
   std::uint64_t m_done = 0;
   std::uint64_t m_failed = 0;
   std::uint64_t m_lost = 0;  ///< Runs that ended without a result of their own.
+  std::uint64_t m_jobs_done = 0;
+  std::uint64_t m_jobs_late = 0;  ///< Part of the former: later than their objective.
 };
 
 struct Coordinator {
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -56,6 +56,33 @@
   return text;
 }
 
+/// Notes how a job that is done fared and where the time of its tasks went. A late one is a failure
+/// to its caller.
+void DecideDone(Coordinator& state, const Time now, const Job& job) {
+  const auto millis = [](const Duration time) { return std::to_string(time.count() / 1000); };
+  Duration estimated{};
+  std::uint32_t tasks = 0;
+  for (const auto& step : job.m_spec.m_steps) {
+    tasks += step.m_count;
+    estimated += step.m_count * step.m_estimate;
+  }
+  const Duration took = now - job.m_accepted;
+  const JobLife& life = job.m_life;
+  const auto first =
+      life.m_first_start != Time{} ? millis(life.m_first_start - job.m_accepted) + " ms" : "none";
+  // The objective of one that repeats holds for each occurrence.
+  const bool late = job.m_spec.m_times == 0 && took > job.m_objective;
+  ++state.m_counters.m_jobs_done;
+  if (late) ++state.m_counters.m_jobs_late;
+  Decide(state, late ? "job late" : "job done", {.m_job = job.m_spec.m_id}, 0, {},
+         "took " + millis(took) + " ms, objective " + millis(job.m_objective) +
+             " ms; first start after " + first + "; " + std::to_string(tasks) + " tasks in " +
+             std::to_string(life.m_runs) + " runs waited " + millis(life.m_waited) +
+             " ms and were held " + millis(life.m_held) + " ms, estimated " + millis(estimated) +
+             " ms");
+  state.m_decisions.back().m_failure = late;
+}
+
 /// Sets the task to done and closes what that completes.
 void Finish(Coordinator& state, Job& job, const TaskRef& ref, Task& task) {
   if (task.m_phase == TaskPhase::kPlaced) {
@@ -104,6 +131,11 @@
   StopJob(state, job, "job failed");
 }
 
+void NoteRunOver(Job& job, const Time now, Task& task) noexcept {
+  job.m_life.m_held += now - task.m_placed;
+  task.m_waits_since = now;
+}
+
 }  // namespace
 
 Job* FindJob(Coordinator& state, const JobId& job) noexcept {
@@ -166,6 +198,7 @@
             std::string reason) {
   ++state.m_counters.m_lost;
   DecideFailure(state, "run lost", ref, task.m_run, task.m_agent, std::move(reason));
+  NoteRunOver(*FindJob(state, ref.m_job), now, task);
   Release(state, ref, task);
   task.m_not_before = now + state.m_options.m_refusal_delay;
 }
@@ -184,7 +217,10 @@
   const bool current = task->m_phase == TaskPhase::kPlaced && task->m_run == end.m_run;
   const auto& spec = job->m_spec.m_steps[end.m_task.m_step];
   const Duration run_time = current ? now - task->m_placed : Duration{};
-  if (current) Release(state, end.m_task, *task);
+  if (current) {
+    NoteRunOver(*job, now, *task);
+    Release(state, end.m_task, *task);
+  }
   const bool newest = end.m_run >= task->m_run;
   task->m_run = std::max(task->m_run, end.m_run);
   if (newest && !end.m_checkpoint.empty()) task->m_checkpoint = end.m_checkpoint;
@@ -202,6 +238,7 @@
       } else {
         Finish(state, *job, end.m_task, *task);
       }
+      if (job->m_closed) DecideDone(state, now, *job);
       return;
     case RunOutcome::kFailed:
       return FailTask(state, now, *job, agent, end, *task);
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -62,7 +62,7 @@
 
 void AddReady(std::vector<ReadyStep>& ready, Job& job, const Time now,
               const std::uint64_t workers_added) {
-  for (const auto& [number, occurrence] : job.m_occurrences) {
+  for (auto& [number, occurrence] : job.m_occurrences) {
     for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
       if (occurrence.m_steps[step].m_left == 0) continue;
       const auto& tasks = occurrence.m_steps[step].m_tasks;
@@ -74,7 +74,8 @@
         return task.m_phase == TaskPhase::kWaiting && task.m_not_before <= now;
       });
       if (!waits || !IsStepReady(job.m_spec, occurrence, step)) continue;
-      const StepState& state_of_step = occurrence.m_steps[step];
+      StepState& state_of_step = occurrence.m_steps[step];
+      if (state_of_step.m_ready == Time{}) state_of_step.m_ready = now;
       if (state_of_step.m_blocked_until > now && state_of_step.m_blocked_at == workers_added) {
         continue;
       }
@@ -97,8 +98,12 @@
   return a.m_latest_start < b.m_latest_start;
 }
 
-void Start(Coordinator& state, const Time now, Agent& agent, const TaskNeed& need, Task& task,
-           const RunNumber run) {
+void Start(Coordinator& state, const Time now, Agent& agent, const TaskNeed& need, Job& job,
+           Task& task, const RunNumber run) {
+  auto& life = job.m_life;
+  if (life.m_first_start == Time{}) life.m_first_start = now;
+  life.m_waited += now - std::max(need.m_step.m_ready, task.m_waits_since);
+  ++life.m_runs;
   task.m_run = run;
   task.m_agent = agent.m_id;
   task.m_placed = task.m_progressed = now;
@@ -202,7 +207,7 @@
       if (task.m_failed_on.empty()) break;
       continue;
     }
-    Start(state, now, *agent, need, task, NextRun(state, task.m_run));
+    Start(state, now, *agent, need, job, task, NextRun(state, task.m_run));
     NotePlaced(placed, i, task.m_run, *agent);
     step.m_waits = false;
     job.m_begun = true;
@@ -262,7 +267,7 @@
   std::vector<PlacedTasks> placed;
   for (const auto& [agent, ref] : held) {
     step.m_tasks[ref.m_index].m_checkpoint = checkpoint;
-    Start(state, now, *agent, need_of(ref.m_index), step.m_tasks[ref.m_index], run);
+    Start(state, now, *agent, need_of(ref.m_index), job, step.m_tasks[ref.m_index], run);
     NotePlaced(placed, ref.m_index, run, *agent);
   }
   DecidePlaced(state, ref_of(0), placed);
--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -94,6 +94,7 @@
 inline const Event kGrantState = DefineEvent(622, EventLevel::kInfo, "grant state changed");
 inline const Event kFillersPaced = DefineEvent(623, EventLevel::kInfo, "filling tasks paced");
 inline const Event kShareChanged = DefineEvent(624, EventLevel::kInfo, "run share changed");
+inline const Event kWorkerShares = DefineEvent(625, EventLevel::kInfo, "worker shares");
 // clang-format on
 
 /// Returns every defined event, ordered by number.
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -6,6 +6,7 @@
 
 #include "../http_threads.h"
 #include "boot_clock.h"
+#include "ebonypin/core/fleet/share_report.h"
 #include "ebonypin/core/fleet/worker_agent.h"
 #include "ebonypin/daemon/events.h"
 #include "ebonypin/daemon/role.h"
@@ -33,6 +34,8 @@
 constexpr auto kTickInterval = 100ms;
 /// Age of the values that a scrape reads.
 constexpr auto kMetricsInterval = 1s;
+/// Between two lines on the shares of a worker; the figures cover half a second.
+constexpr auto kSharesInterval = 1s;
 
 std::string_view KindName(const RunCallKind kind) noexcept {
   switch (kind) {
@@ -194,6 +197,39 @@
     m_counters.Set("runs", static_cast<double>(m_agent.m_runs.size()));
     m_counters.Set("unrecorded_ends", static_cast<double>(m_agent.m_ends.size()));
     m_counters.Set("ends_total", static_cast<double>(m_ends));
+    NoteShares();
+  }
+
+  /// Adds the time since the last call to what the runs spent at their shares.
+  void NoteShares() {
+    const auto counts = core::fleet::CountShares(m_agent);
+    const auto note = [this](const char* name, double& total, const std::uint32_t runs) {
+      total += runs * std::chrono::duration<double>(kMetricsInterval).count();
+      m_counters.Set(name, total);
+    };
+    note("filling_full_seconds_total", m_shares.m_full, counts.m_full);
+    note("filling_partial_seconds_total", m_shares.m_partial, counts.m_partial);
+    note("filling_resting_seconds_total", m_shares.m_resting, counts.m_resting);
+    note("serving_missed_seconds_total", m_shares.m_missed, counts.m_missed);
+  }
+
+  /// Logs the state behind the shares while a filling run is held back or a target is missed.
+  void LogShares(const core::Time now) {
+    if (now - m_shares_logged < kSharesInterval) return;
+    const auto counts = core::fleet::CountShares(m_agent);
+    if (counts.m_partial + counts.m_resting + counts.m_missed == 0) return;
+    m_shares_logged = now;
+    const auto report = core::fleet::DescribeShares(m_agent, now);
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_agent.m_clock_at);
+    LogEvent(kWorkerShares, {{"full", counts.m_full},
+                             {"partial", counts.m_partial},
+                             {"resting", counts.m_resting},
+                             {"missed", counts.m_missed},
+                             {"serving", report.m_serving},
+                             {"filling", report.m_filling},
+                             {"pairs", report.m_pairs},
+                             {"age_ms", age.count()}});
   }
 
   platform::CallTarget Target() const {
@@ -207,6 +243,7 @@
       if (call.m_kind == RunCallKind::kPace) LogShare(call, now);
       SendCall(call);
     }
+    LogShares(now);
     const bool rest = core::fleet::MustRest(m_agent.m_missed_since, now);
     if (rest != m_resting) {
       m_resting = rest;
@@ -323,6 +360,14 @@
   bool m_granted = false;
   bool m_resting = false;
   std::uint64_t m_ends = 0;
+  /// Run seconds of this process by share.
+  struct {
+    double m_full = 0.0;
+    double m_partial = 0.0;
+    double m_resting = 0.0;
+    double m_missed = 0.0;
+  } m_shares;
+  core::Time m_shares_logged;
   std::atomic<bool> m_stopping{false};
 };
 
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -167,6 +167,8 @@
     m_counters.Set("silent_members", static_cast<double>(state.m_silent_members.size()));
     m_counters.Set("jobs_submitted_total", static_cast<double>(counters.m_submitted));
     m_counters.Set("jobs_refused_total", static_cast<double>(counters.m_refused));
+    m_counters.Set("jobs_done_total", static_cast<double>(counters.m_jobs_done));
+    m_counters.Set("jobs_late_total", static_cast<double>(counters.m_jobs_late));
     m_counters.Set("runs_started_total", static_cast<double>(counters.m_starts));
     m_counters.Set("runs_stopped_total", static_cast<double>(counters.m_stops));
     m_counters.Set("runs_done_total", static_cast<double>(counters.m_done));
