Share unexplained growth out by the doubt about a pair

Cause: what a latency showed above the beliefs was charged to the pairs of images on the worker by the square of what was believed of them. So a pair that was once taken for a disturbing one got the blame for its neighbours too, however often it had been measured, and an unknown pair beside it got little. Class of fault: an estimate whose own value decides how much evidence counts for it.

Change: one step of a Kalman filter a latency, the pairs of a serving image taken as independent. A pair takes the blame by its variance, which falls with each measurement that carries information and grows again slowly while it is not measured. A saturated latency still says that there is more growth than it shows, and leaves the variance alone.

--- a/packages/core/include/ebonypin/core/fleet/image_pairs.h
+++ b/packages/core/include/ebonypin/core/fleet/image_pairs.h
@@ -22,13 +22,25 @@
 #include <vector>
 
 #include "ebonypin/core/fleet/job.h"
-#include "ebonypin/core/interference.h"
 #include "ebonypin/core/time.h"
 
 namespace ebonypin::core::fleet {
 
+/// Variance of the effect of a pair that was never measured: two images in three disturb little,
+/// and the others raise the utilisation by three to ten times.
+inline constexpr double kPriorDoubt = 9.0;
+
+/// What is believed of one pair.
+struct PairBelief {
+  double m_extra = 0.0;          ///< Growth of the utilisation by a worker full of the other.
+  double m_doubt = kPriorDoubt;  ///< Variance of `m_extra`.
+  Time m_learned;
+
+  friend bool operator==(const PairBelief&, const PairBelief&) = default;
+};
+
 struct ImagePairs {
-  std::map<std::pair<ImageName, ImageName>, PairEstimate> m_pairs;  ///< By serving and filling.
+  std::map<std::pair<ImageName, ImageName>, PairBelief> m_pairs;  ///< By serving and filling.
   std::map<ImageName, double> m_idle_ms;  ///< Tail latency of a serving image without load.
 
   friend bool operator==(const ImagePairs&, const ImagePairs&) = default;
@@ -102,14 +114,21 @@
 /// Takes over what was learned elsewhere or earlier.
 void Adopt(ImagePairs& pairs, const std::vector<ImagePair>& known, Time now);
 
-/// Growth between two measurements that a serving task's own load may explain.
-inline constexpr double kOwnGrowth = 0.15;
-/// Difference between the loads of two tasks of a step, measured within a second.
-inline constexpr double kPeerDifference = 0.08;
-
-/// Learns from a latency beside `filling` of a task whose own utilisation is `base_load`, give or
-/// take `uncertainty`, a part of it.
+/// What the growth that a latency shows may owe to the estimate of the load without filling tasks.
+struct GrowthError {
+  double m_bias = 0.0;   ///< A smaller difference says nothing.
+  double m_noise = 0.0;  ///< Standard deviation.
+};
+/// For a load that is the task's own estimate: it lags behind the load's swing.
+inline constexpr GrowthError kOwnGrowth{.m_bias = 0.15, .m_noise = 0.3};
+/// For a load that the other tasks of the step show, measured within a second.
+inline constexpr GrowthError kPeerDifference{.m_bias = 0.08, .m_noise = 0.22};
+
+/// Learns from a latency beside `filling` of a task whose utilisation without it is estimated at
+/// `base_load`. What the beliefs do not explain is shared out by their doubt: a pair that was often
+/// measured is not blamed for an unknown one beside it.
 void LearnPairs(ImagePairs& pairs, const ImageName& serving, double base_load, double latency_ms,
-                const std::vector<FillingLoad>& filling, Time now, double uncertainty = kOwnGrowth);
+                const std::vector<FillingLoad>& filling, Time now,
+                const GrowthError& error = kOwnGrowth);
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/image_pairs.cc
+++ b/packages/core/src/fleet/image_pairs.cc
@@ -15,20 +15,22 @@
 /// Three half-lives: little is left of the distance from the prior.
 constexpr auto kForgetAfter = std::chrono::minutes{15};
 constexpr double kLargestExtra = 100.0;
+/// Doubt about a pair that another process learned; its record does not hold the doubt.
+constexpr double kAdoptedDoubt = kPriorDoubt / 4;
 /// Figures are rounded to whole ms, so the lowest one may be above the idle latency.
 constexpr double kIdleShare = 0.95;
 constexpr double kLargestLoad = 0.98;  // The model has no latency for a full server.
 /// Utilisation of a serving task in its trough; what exceeds it may be the filling tasks' doing.
 constexpr double kTroughLoad = 0.25;
-/// A smaller share of the worker's processors says little about all of them.
-constexpr double kTellingShare = 0.03;
-/// Part of the unexplained growth that one measurement corrects.
-constexpr double kRate = 0.4;
-/// Suspicion of a pair that is estimated to be harmless, so that a wrong estimate can rise again.
-constexpr double kLeastSuspicion = 0.3;
+/// Growth of the doubt about a pair in a second in which it is not measured: effects change with
+/// the phases of the work.
+constexpr double kDrift = 0.05;
+/// Figures are off by a twentieth and rounded to whole milliseconds.
+constexpr double kFigureError = 0.05;
+constexpr double kRoundingMs = 0.3;
 /// Above this utilisation a latency only tells that there is more growth than it shows.
 constexpr double kFullLoad = 0.9;
-constexpr double kHiddenGrowth = 0.5;
+constexpr double kSaturatedLoad = 1.05;  // What it counts as then.
 /// Weights of a measurement in the base: with little beside it to be wrong about, or much.
 constexpr double kCleanWeight = 0.5;
 constexpr double kDisturbedWeight = 0.1;
@@ -43,12 +45,6 @@
 /// Seconds without a figure after which the slope is not known.
 constexpr double kLongestGap = 2.0;
 
-/// Weight of a pair in the search for the cause of a growth or a decline. Squared, so that the
-/// harmless many do not share the blame of one.
-double Suspicion(const double extra) noexcept {
-  return (extra + kLeastSuspicion) * (extra + kLeastSuspicion);
-}
-
 }  // namespace
 
 double LoadAt(const double latency_ms, const double idle_ms) noexcept {
@@ -152,43 +148,57 @@
 void Adopt(ImagePairs& pairs, const std::vector<ImagePair>& known, const Time now) {
   for (const auto& pair : known) {
     if (pair.m_extra < 0.0) continue;
-    pairs.m_pairs[{pair.m_serving, pair.m_filling}] = {.m_extra = pair.m_extra, .m_learned = now};
+    pairs.m_pairs[{pair.m_serving, pair.m_filling}] = {
+        .m_extra = pair.m_extra, .m_doubt = kAdoptedDoubt, .m_learned = now};
     if (pair.m_idle_ms > 0.0) pairs.m_idle_ms[pair.m_serving] = pair.m_idle_ms;
   }
 }
 
 void LearnPairs(ImagePairs& pairs, const ImageName& serving, const double base_load,
                 const double latency_ms, const std::vector<FillingLoad>& filling, const Time now,
-                const double uncertainty) {
+                const GrowthError& error) {
+  struct Cause {
+    PairBelief* m_pair;
+    double m_load;
+  };
+  // One step of a Kalman filter whose state are the pairs of the serving image, taken as
+  // independent.
+  const double base = std::max(base_load, kTroughLoad);
   const double load = LoadAt(latency_ms, IdleLatency(pairs, serving));
-  const double growth = load / std::max(base_load, kTroughLoad) - 1.0;
+  // The load without filling tasks is not below its trough.
   const double most = std::max(0.0, load / kTroughLoad - 1.0);
-  double least_expected = 0.0;
-  double most_expected = 0.0;
-  double suspicion = 0.0;
+  double expected = 0.0;
+  double doubt = 0.0;
+  std::vector<Cause> causes;
+  causes.reserve(filling.size());
   for (const auto& cause : filling) {
-    double extra = ExtraWhenFull(pairs, serving, cause.m_image, now);
-    if (cause.m_least >= kTellingShare && extra * cause.m_least > most) {
-      extra = most / cause.m_least;
-      pairs.m_pairs[{serving, cause.m_image}] = {.m_extra = extra, .m_learned = now};
+    const double used = (cause.m_least + cause.m_most) / 2;
+    if (used <= 0.0) continue;
+    const double extra = ExtraWhenFull(pairs, serving, cause.m_image, now);
+    auto& pair = pairs.m_pairs.try_emplace({serving, cause.m_image}).first->second;
+    if (pair.m_learned != Time{}) {
+      const auto unseen = std::chrono::duration<double>(now - pair.m_learned).count();
+      pair.m_doubt = std::min(pair.m_doubt + kDrift * std::max(unseen, 0.0), kPriorDoubt);
     }
-    least_expected += cause.m_least * extra;
-    most_expected += cause.m_most * extra;
-    if (cause.m_most >= kTellingShare) suspicion += cause.m_most * Suspicion(extra);
+    pair.m_extra = cause.m_least > 0.0 ? std::min(extra, most / cause.m_least) : extra;
+    pair.m_learned = now;
+    expected += used * pair.m_extra;
+    doubt += used * used * pair.m_doubt;
+    causes.push_back({.m_pair = &pair, .m_load = used});
   }
-  if (suspicion <= 0.0) return;
-  double error = 0.0;
-  if (growth > most_expected + uncertainty) error = growth - most_expected - uncertainty;
-  if (load > kFullLoad) error = std::max(error, kHiddenGrowth);
-  if (growth < least_expected - uncertainty) error = growth - least_expected + uncertainty;
-  for (const auto& cause : filling) {
-    // A short or small presence explains little, and would be credited with too much for a full
-    // worker.
-    if (cause.m_most < kTellingShare) continue;
-    const double extra = ExtraWhenFull(pairs, serving, cause.m_image, now);
-    const double step = kRate * error * Suspicion(extra) / suspicion;
-    pairs.m_pairs[{serving, cause.m_image}] = {
-        .m_extra = std::clamp(extra + step, 0.0, kLargestExtra), .m_learned = now};
+  if (causes.empty()) return;
+  const double rounding = kRoundingMs / latency_ms;
+  const double error_of_load = (1.0 - load) * (kFigureError + rounding) / base;
+  const double noise = error.m_noise * error.m_noise + error_of_load * error_of_load;
+  const bool full = load > kFullLoad;
+  double surprise = (full ? kSaturatedLoad : load) / base - 1.0 - expected;
+  surprise =
+      full ? std::max(surprise, 0.0) : surprise - std::clamp(surprise, -error.m_bias, error.m_bias);
+  for (const auto& [pair, used] : causes) {
+    const double gain = pair->m_doubt * used / (doubt + noise);
+    pair->m_extra = std::clamp(pair->m_extra + gain * surprise, 0.0, kLargestExtra);
+    // A saturated latency measures nothing.
+    if (!full) pair->m_doubt *= 1.0 - gain * used;
   }
 }
 
