Compare 72 places for a filling task

Hypothesis: with three serving images on a worker, of which a third is disturbed by a filling image, one place in four is harmless to it. The best of 24 places is then often one of a few that others want too.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -74,7 +74,8 @@
   Duration m_blocked_delay = std::chrono::milliseconds{40};
   /// Places with room that are compared for one filling task. A comparison costs microseconds for
   /// each, so the number does not grow with the workers; each comparison begins after the last.
-  std::size_t m_compared_places = 24;
+  /// Where a worker serves three images, one place in four is harmless to a filling image.
+  std::size_t m_compared_places = 72;
   /// Share of its processors, as used over half a second, below which a filling task is slow.
   double m_slow_share = 0.6;
   /// Progress up to which a task without checkpoints is moved; it starts anew.
