--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -15,8 +15,6 @@
   std::uint32_t m_priority = 0;
   bool m_late = false;  ///< It misses its objective in any case.
   Time m_latest_start;  ///< To meet the objective.
-  bool m_serving = false;
-  const ImageName* m_image = nullptr;  ///< Never null once it is ready.
 };
 
 /// Returns the estimated time of the longest chain of steps from `first` on.
@@ -89,9 +87,7 @@
                        .m_priority = job.m_spec.m_policy.m_priority,
                        .m_late = !job.m_spec.m_steps[step].m_long_running &&
                                  job.m_spec.m_times == 0 && now + rest > due,
-                       .m_latest_start = due - rest,
-                       .m_serving = job.m_spec.m_steps[step].m_latency_target > Duration{},
-                       .m_image = &job.m_spec.m_steps[step].m_image});
+                       .m_latest_start = due - rest});
     }
   }
 }
@@ -99,9 +95,6 @@
 bool ComesBefore(const ReadyStep& a, const ReadyStep& b) {
   if (a.m_late != b.m_late) return b.m_late;
   if (a.m_priority != b.m_priority) return a.m_priority < b.m_priority;
-  // Serving steps that wait together are placed image by image, so that fewer images meet.
-  if (a.m_serving && b.m_serving) return *a.m_image < *b.m_image;
-  if (a.m_serving != b.m_serving) return a.m_serving;
   return a.m_latest_start < b.m_latest_start;
 }
 
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -11,7 +11,7 @@
 constexpr double kFailedThereCost = 1000.0;  // The task failed on this worker before.
 constexpr double kPausedCost = 200.0;        // Put aside: used only when there is no other.
 constexpr double kRackCost = 4.0;            // Away from the data or from the gang's rack.
-constexpr double kOtherImageCost = 1.0;      // Serving tasks of other images are there.
+constexpr double kOtherImageCost = 0.3;      // Serving tasks of other images are there.
 constexpr double kFreeWorkerCost = 3.0;      // No serving task is there: a place for filling ones.
 constexpr double kShareCost = 8.0;           // The whole share of a filling task.
 constexpr double kTakenCost = 4.0;           // The whole room of a serving image there.
