--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -74,13 +74,13 @@
   const bool late = job.m_spec.m_times == 0 && took > job.m_objective;
   ++state.m_counters.m_jobs_done;
   if (late) ++state.m_counters.m_jobs_late;
-  Decide(state, late ? "job late" : "job done", {.m_job = job.m_spec.m_id}, 0, {},
-         "took " + millis(took) + " ms, objective " + millis(job.m_objective) +
-             " ms; first start after " + first + "; " + std::to_string(tasks) + " tasks in " +
-             std::to_string(life.m_runs) + " runs waited " + millis(life.m_waited) +
-             " ms and were held " + millis(life.m_held) + " ms, estimated " + millis(estimated) +
-             " ms");
-  state.m_decisions.back().m_failure = late;
+  const auto note = late ? &DecideFailure : &Decide;
+  note(state, late ? "job late" : "job done", {.m_job = job.m_spec.m_id}, 0, {},
+       "took " + millis(took) + " ms, objective " + millis(job.m_objective) +
+           " ms; first start after " + first + "; " + std::to_string(tasks) + " tasks in " +
+           std::to_string(life.m_runs) + " runs waited " + millis(life.m_waited) +
+           " ms and were held " + millis(life.m_held) + " ms, estimated " + millis(estimated) +
+           " ms");
 }
 
 /// Sets the task to done and closes what that completes.
@@ -131,6 +131,7 @@
   StopJob(state, job, "job failed");
 }
 
+/// Notes the end of the task's current run, which is still held.
 void NoteRunOver(Job& job, const Time now, Task& task) noexcept {
   job.m_life.m_held += now - task.m_placed;
   task.m_waits_since = now;
