Count the shares of a worker once a second

The agent counted its runs by share at each of its steps, and once more for the counters. The line E625 comes from the same timer and count as the counters now: still at most once a second, up to a second later than before. No decision is changed.

--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -34,8 +34,6 @@
 constexpr auto kTickInterval = 100ms;
 /// Age of the values that a scrape reads.
 constexpr auto kMetricsInterval = 1s;
-/// Between two lines on the shares of a worker; the figures cover half a second.
-constexpr auto kSharesInterval = 1s;
 
 std::string_view KindName(const RunCallKind kind) noexcept {
   switch (kind) {
@@ -197,12 +195,13 @@
     m_counters.Set("runs", static_cast<double>(m_agent.m_runs.size()));
     m_counters.Set("unrecorded_ends", static_cast<double>(m_agent.m_ends.size()));
     m_counters.Set("ends_total", static_cast<double>(m_ends));
-    NoteShares();
+    const auto shares = core::fleet::CountShares(m_agent);
+    NoteShares(shares);
+    if (shares.m_partial + shares.m_resting + shares.m_missed > 0) LogShares(shares, BootNow());
   }
 
   /// Adds the time since the last call to what the runs spent at their shares.
-  void NoteShares() {
-    const auto counts = core::fleet::CountShares(m_agent);
+  void NoteShares(const core::fleet::ShareCounts& counts) {
     const auto note = [this](const char* name, double& total, const std::uint32_t runs) {
       total += runs * std::chrono::duration<double>(kMetricsInterval).count();
       m_counters.Set(name, total);
@@ -213,12 +212,8 @@
     note("serving_missed_seconds_total", m_shares.m_missed, counts.m_missed);
   }
 
-  /// Logs the state behind the shares while a filling run is held back or a target is missed.
-  void LogShares(const core::Time now) {
-    if (now - m_shares_logged < kSharesInterval) return;
-    const auto counts = core::fleet::CountShares(m_agent);
-    if (counts.m_partial + counts.m_resting + counts.m_missed == 0) return;
-    m_shares_logged = now;
+  /// Logs the state behind the shares.
+  void LogShares(const core::fleet::ShareCounts& counts, const core::Time now) const {
     const auto report = core::fleet::DescribeShares(m_agent, now);
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - m_agent.m_clock_at);
@@ -243,7 +238,6 @@
       if (call.m_kind == RunCallKind::kPace) LogShare(call, now);
       SendCall(call);
     }
-    LogShares(now);
     const bool rest = core::fleet::MustRest(m_agent.m_missed_since, now);
     if (rest != m_resting) {
       m_resting = rest;
@@ -367,7 +361,6 @@
     double m_resting = 0.0;
     double m_missed = 0.0;
   } m_shares;
-  core::Time m_shares_logged;
   std::atomic<bool> m_stopping{false};
 };
 
