Make the check of planted defects able to fail

Cause: EveryDefectIsCaught had its assertion behind "if (false)", so a missed defect was only printed. Change: the assertion runs. A search for other conditions that are constant found none.

--- a/packages/faults/tests/faults_test.cc
+++ b/packages/faults/tests/faults_test.cc
@@ -69,7 +69,7 @@
   }
 
   /// Guards against a checker that passes everything. Prints, for each defect, whether and in which
-  /// round it was caught. The assertion below is disabled, so a missed defect is only printed.
+  /// round it was caught.
   void EveryDefectIsCaught() {
     std::printf("\n");
     for (const Defect defect : kDefects) {
@@ -83,7 +83,7 @@
                   caught ? "caught" : "MISSED", found.m_rounds,
                   caught ? found.m_violations.front().c_str() : "");
       std::fflush(stdout);
-      if (false) CPPUNIT_ASSERT_MESSAGE(std::string(DefectName(defect)), caught);
+      CPPUNIT_ASSERT_MESSAGE(std::string(DefectName(defect)), caught);
     }
   }
 };
