Start nothing in a failure domain under evacuation

Cause: the operators' record evacuate/DOMAIN was not read. Change: entries follow the records beside the configuration, and the coordinator starts nothing in the domains named there. Starts that no agent has taken yet are withdrawn, gangs as a whole; running work goes on, since a move costs a stop and a resume that the operators did not ask for. A new coordinator starts nothing before it has read all records, and a complete read ends evacuations whose record is gone. An answer of the store that is older than one already read is not used. Weighed and not built: agents that read the record too.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -229,6 +229,7 @@
   Time m_learned;                     ///< When the model was last updated from its figures.
   std::map<ImageName, double> m_filling_loads;  ///< Shares in use at that time, by filling image.
   WorkerHealth m_health;
+  bool m_evacuated = false;  ///< Its failure domain is under evacuation: nothing starts there.
 };
 
 /// Request to the advice service on the workers that may run a step.
@@ -285,6 +286,7 @@
   /// Members of earlier epochs that have not reported in this one, with their addresses.
   std::map<AgentId, std::string> m_silent_members;
   Time m_silent_until;  ///< All grants of earlier epochs have ended by this time.
+  std::set<std::string> m_evacuated_domains;  ///< See SetEvacuations.
   std::uint64_t m_next_session = 1;
   /// Number of stray runs by task. A task is not started while a stray run of it may be running.
   std::map<TaskRef, std::uint32_t> m_strays;
@@ -330,6 +332,10 @@
 void OnAdvice(Coordinator& state, const TaskRef& step, std::map<WorkerId, std::string> tickets,
               Time until);
 
+/// Sets the failure domains in which nothing is started. Starts there that no agent has taken yet
+/// are withdrawn; runs that have started go on.
+void SetEvacuations(Coordinator& state, std::set<std::string> domains);
+
 /// Handles expired grants, stalled runs, runs on draining workers, slow filling tasks and closed
 /// jobs whose retention has ended. Call it periodically.
 void Tick(Coordinator& state, Time now, WallMillis wall);
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -355,6 +355,7 @@
     agent.m_recorded = agent.m_record_asked = false;
   }
   agent.m_worker = report.m_worker;
+  agent.m_evacuated = state.m_evacuated_domains.count(agent.m_worker.m_domain) > 0;
   // A member recorded in an earlier epoch may have runs, so its report counts before a new record
   // is written. A new member has no runs.
   state.m_silent_members.erase(report.m_agent);
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -123,6 +123,7 @@
   if (agent.m_session == 0 || !agent.m_recorded || worker.m_draining || !worker.m_reachable) {
     return false;
   }
+  if (agent.m_evacuated) return false;
   if (worker.m_service != need.m_job.m_spec.m_policy.m_service) return false;
   if (spec.m_required_label.empty()) return true;
   return std::find(worker.m_labels.begin(), worker.m_labels.end(), spec.m_required_label) !=
--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -134,17 +134,33 @@
   (void)SendHttp(m_agent_addresses[worker].m_worker, "POST", "/faults", json);
 }
 
-void FleetSite::PutConfig(const int version, const std::string& prefix) const {
-  const auto& platform = *platform::GetPlatformPlugin();
+void FleetSite::PutOperatorRecord(const std::string& key, const std::string& text) const {
   auto record = web::json::value::object();
-  record["topic"] = web::json::value::string(platform.m_config_topic);
-  record["key"] = web::json::value::string(platform.m_config_key);
-  record["value"] = web::json::value::string(standin::UsersConfig(version, prefix));
+  record["topic"] = web::json::value::string(platform::GetPlatformPlugin()->m_config_topic);
+  record["key"] = web::json::value::string(key);
+  record["value"] = web::json::value::string(text);
   auto faults = web::json::value::object();
   faults["put"] = std::move(record);
   SetStoreFaults(faults.serialize());
 }
 
+void FleetSite::PutConfig(const int version, const std::string& prefix) const {
+  PutOperatorRecord(platform::GetPlatformPlugin()->m_config_key,
+                    standin::UsersConfig(version, prefix));
+}
+
+void FleetSite::SetEvacuation(const std::string& domain, const bool requested) const {
+  PutOperatorRecord(platform::GetPlatformPlugin()->m_evacuation_prefix + domain,
+                    requested ? "{}" : "");
+}
+
+bool FleetSite::WaitForEvacuations(const std::size_t entry, const std::size_t count) const {
+  const auto line = "ebonypin_fleet_evacuated_domains " + std::to_string(count);
+  return WaitUntil([&] {
+    return GetText(m_entry_addresses[entry].m_metrics, "/metrics").find(line) != std::string::npos;
+  });
+}
+
 std::size_t FleetSite::Coordinator() const {
   std::size_t found = m_entries.size();
   (void)WaitUntil([&] {
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -38,6 +38,10 @@
 
   /// Puts a configuration with one queue under the path `prefix` into the store.
   void PutConfig(int version, const std::string& prefix) const;
+  /// Requests or ends the evacuation of a failure domain. All workers are in "domain-a".
+  void SetEvacuation(const std::string& domain, bool requested) const;
+  /// Waits until the entry's metrics show `count` failure domains under evacuation.
+  [[nodiscard]] bool WaitForEvacuations(std::size_t entry, std::size_t count) const;
   [[nodiscard]] Role& Entry(std::size_t entry) { return *m_entries[entry]; }
   /// Returns a function that calls the entry over one connection while it stays open.
   [[nodiscard]] std::function<HttpResult(const std::string& method, const std::string& path)>
@@ -64,6 +68,8 @@
     std::string m_worker;
   };
 
+  void PutOperatorRecord(const std::string& key, const std::string& text) const;
+
   std::string m_store_address;
   std::vector<EntryAddresses> m_entry_addresses;
   std::vector<AgentAddresses> m_agent_addresses;
--- a/packages/daemon/scenarios/fleet_test.cc
+++ b/packages/daemon/scenarios/fleet_test.cc
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 const std::string kJob = "0123456789abcdef";
+const std::string kOtherJob = "fedcba9876543210";
 
 class FleetCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetCallsTest);
@@ -80,6 +81,74 @@
   }
 };
 
+/// Failure domains that operators evacuate.
+class FleetEvacuationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetEvacuationTest);
+  CPPUNIT_TEST(NothingStartsInTheDomainUntilItIsTakenBack);
+  CPPUNIT_TEST(ASucceedingCoordinatorKnowsTheEvacuation);
+  CPPUNIT_TEST(AnEndInDroppedHistoryIsNoticed);
+  CPPUNIT_TEST(RecordsWithoutADomainAreIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NothingStartsInTheDomainUntilItIsTakenBack() {
+    FleetSite site(1, 1);
+    CPPUNIT_ASSERT_EQUAL(200, site.Submit(0, kOtherJob, "last").m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Running() == 1; }));
+    site.SetEvacuation("domain-a", true);
+    CPPUNIT_ASSERT(site.WaitForEvacuations(0, 1));
+    CPPUNIT_ASSERT_EQUAL(200, site.Submit(0, kJob, "run 1").m_status);
+    std::this_thread::sleep_for(kSettleTime);
+    CPPUNIT_ASSERT_EQUAL(std::string{"queued"}, site.StateOf(0, kJob));
+    CPPUNIT_ASSERT_EQUAL(1, site.Running());
+    site.SetEvacuation("domain-a", false);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kJob) == "done"; }));
+  }
+
+  /// Guards against a coordinator that starts work before it has read the operators' records.
+  void ASucceedingCoordinatorKnowsTheEvacuation() {
+    FleetSite site(1, 1);
+    site.SetEvacuation("domain-a", true);
+    CPPUNIT_ASSERT(site.WaitForEvacuations(0, 1));
+    CPPUNIT_ASSERT_EQUAL(200, site.Submit(0, kJob, "run 1").m_status);
+    site.StopEntry(0);
+    site.StartEntry(0);
+    CPPUNIT_ASSERT(site.WaitForEvacuations(0, 1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, site.Coordinator());
+    std::this_thread::sleep_for(kSettleTime);
+    CPPUNIT_ASSERT_EQUAL(std::string{"queued"}, site.StateOf(0, kJob));
+    site.SetEvacuation("domain-a", false);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kJob) == "done"; }));
+  }
+
+  /// Guards against an evacuation that never ends when the store drops the record of its end before
+  /// the entry reads it.
+  void AnEndInDroppedHistoryIsNoticed() {
+    FleetSite site(1, 1);
+    site.SetEvacuation("domain-a", true);
+    CPPUNIT_ASSERT(site.WaitForEvacuations(0, 1));
+    site.SetStoreFaults(R"({"down": true})");
+    std::this_thread::sleep_for(kSettleTime);  // The read that was waiting has been answered.
+    site.SetEvacuation("domain-a", false);
+    site.SetStoreFaults(R"({"drop_history": true})");
+    site.SetStoreFaults(R"({"down": false})");
+    CPPUNIT_ASSERT(site.WaitForEvacuations(0, 0));
+  }
+
+  void RecordsWithoutADomainAreIgnored() {
+    FleetSite site(1, 1);
+    site.SetEvacuation("", true);
+    site.SetEvacuation("elsewhere", true);
+    CPPUNIT_ASSERT(site.WaitForEvacuations(0, 1));
+    CPPUNIT_ASSERT_EQUAL(200, site.Submit(0, kJob, "run 1").m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kJob) == "done"; }));
+  }
+
+ private:
+  /// Many times what the coordinator needs to start a task.
+  static constexpr auto kSettleTime = 400ms;
+};
+
 class FleetFaultsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetFaultsTest);
   CPPUNIT_TEST(AJobOutlivesItsCoordinator);
@@ -232,6 +301,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetCallsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetEvacuationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetFaultsTest);
 
 }  // namespace
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -118,6 +118,13 @@
   return reply;
 }
 
+void CoordinatorService::SetEvacuations(const core::fleet::Evacuations& evacuations) {
+  m_evacuations = evacuations;
+  if (!IsActive()) return;
+  core::fleet::SetEvacuations(m_state, evacuations.m_domains);
+  ScheduleCycle();
+}
+
 core::fleet::StepDownReply CoordinatorService::OnStepDown(const core::fleet::StepDown& request) {
   ObserveCoordinator(request.m_epoch, request.m_coordinator);
   return {.m_stepped_down = m_leadership.m_stage == LeadershipStage::kFollower};
@@ -137,7 +144,7 @@
 
 void CoordinatorService::RunCycle() {
   if (!IsActive()) return;
-  if (MayAct(m_leadership, BootNow())) {
+  if (MayAct(m_leadership, BootNow()) && m_evacuations.m_known) {
     Plan(m_state, BootNow(), WallNow());
     for (auto& [id, agent] : m_state.m_agents) SendOrders(agent);
     RequestAdvice();
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -17,6 +17,7 @@
 #include "../event_thread.h"
 #include "ebonypin/core/fleet/candidacy.h"
 #include "ebonypin/core/fleet/coordinator.h"
+#include "ebonypin/core/fleet/evacuation.h"
 #include "ebonypin/core/fleet/leadership.h"
 #include "ebonypin/platform/advice.h"
 #include "ebonypin/platform/keyed_store.h"
@@ -70,6 +71,9 @@
   /// steps down if the epoch is later than this entry's own. An empty address is not recorded.
   void ObserveCoordinator(core::Epoch epoch, const std::string& rpc_address);
 
+  /// Sets the evacuations in force. Nothing is started before they are known.
+  void SetEvacuations(const core::fleet::Evacuations& evacuations);
+
  private:
   /// Call whose answer waits until its change is recorded.
   struct Waiter {
@@ -116,6 +120,7 @@
   const CoordinatorServiceOptions m_options;
   core::fleet::Leadership m_leadership;
   core::fleet::Coordinator m_state;
+  core::fleet::Evacuations m_evacuations;
   KnownCoordinator m_known;
   /// Renews the group membership on a thread of its own, so that a coordinator with long-running
   /// events does not lose its membership.
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -1,7 +1,9 @@
 /// Entry role for jobs of steps: serves callers, and runs the coordinator while it is the leader.
 #include <atomic>
 #include <memory>
+#include <set>
 #include <stdexcept>
+#include <string>
 #include <utility>
 
 #include "../address.h"
@@ -173,6 +175,7 @@
     m_fleet_metrics.Set("config_version", static_cast<double>(m_queues.m_version));
     m_fleet_metrics.Set("jobs", static_cast<double>(state.m_jobs.size()));
     m_fleet_metrics.Set("silent_members", static_cast<double>(state.m_silent_members.size()));
+    m_fleet_metrics.Set("evacuated_domains", static_cast<double>(m_evacuations.m_domains.size()));
     m_fleet_metrics.Set("jobs_submitted_total", static_cast<double>(counters.m_submitted));
     m_fleet_metrics.Set("jobs_refused_total", static_cast<double>(counters.m_refused));
     m_fleet_metrics.Set("jobs_done_total", static_cast<double>(counters.m_jobs_done));
@@ -190,7 +193,10 @@
         TopicWatchOptions{
             .m_topic = m_platform.m_config_topic,
             .m_poll_wait = kConfigPollWait,
-            .m_on_record = [this](const platform::KeyedRecord& record) { OnConfig(record); },
+            .m_on_record =
+                [this](const platform::KeyedRecord& record) { OnOperatorRecord(record); },
+            .m_on_all_read =
+                [this](const std::set<std::string>& keys) { OnOperatorRecordsRead(keys); },
             .m_on_state =
                 [](const bool available, const std::string& reason) {
                   LogEvent(available ? kLogAvailable : kLogUnavailable,
@@ -199,8 +205,38 @@
     m_config_watch->Start();
   }
 
+  void OnOperatorRecord(const platform::KeyedRecord& record) {
+    if (record.m_key == m_platform.m_config_key) return OnConfig(record);
+    if (!record.m_key.starts_with(m_platform.m_evacuation_prefix)) return;
+    const auto domain = record.m_key.substr(m_platform.m_evacuation_prefix.size());
+    if (domain.empty()) {
+      LogEvent(kEvacuationRefused,
+               {{"key", record.m_key},
+                {"reason", "it names no failure domain; write one record for each domain"}});
+      return;
+    }
+    const bool requested = !record.m_value.empty();
+    if (!Apply(m_evacuations, domain, requested)) return;
+    LogEvent(requested ? kEvacuationBegan : kEvacuationEnded, {{"domain", domain}});
+    // While the records are read for the first time, this one alone says nothing of the others.
+    if (m_evacuations.m_known) m_coordinator->SetEvacuations(m_evacuations);
+  }
+
+  void OnOperatorRecordsRead(const std::set<std::string>& keys) {
+    const auto& prefix = m_platform.m_evacuation_prefix;
+    std::set<std::string> domains;
+    for (auto key = keys.lower_bound(prefix); key != keys.end() && key->starts_with(prefix);
+         ++key) {
+      domains.insert(key->substr(prefix.size()));
+    }
+    for (const auto& domain : KeepOnly(m_evacuations, domains)) {
+      LogEvent(kEvacuationEnded, {{"domain", domain}});
+    }
+    m_coordinator->SetEvacuations(m_evacuations);
+  }
+
   void OnConfig(const platform::KeyedRecord& record) {
-    if (record.m_key != m_platform.m_config_key || record.m_value.empty()) return;
+    if (record.m_value.empty()) return;
     auto table = core::Capture([&] { return m_platform.m_decode_config(record.m_value); });
     if (!table.Ok()) {
       LogEvent(kQueuesNotRead, {{"reason", table.m_error->m_message}});
@@ -331,6 +367,7 @@
   std::unique_ptr<MetricsServer> m_metrics_server;
   FleetMetrics m_fleet_metrics;
   core::fleet::QueueTable m_queues;
+  core::fleet::Evacuations m_evacuations;
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_draining{false};
   std::atomic<bool> m_stopped{false};  ///< The role is being destroyed; calls are refused.
--- a/packages/daemon/src/fleet/topic_watch.cc
+++ b/packages/daemon/src/fleet/topic_watch.cc
@@ -16,25 +16,37 @@
   m_store.ReadNewest(m_options.m_topic, after,
                      [self = shared_from_this(), after](core::Captured<platform::NewestPage> page) {
                        self->m_events->Post([self, after, page = std::move(page)] {
-                         if (!page.Ok()) {
-                           return self->RetryAfterError(*page.m_error,
-                                                        [self, after] { self->ReadNewest(after); });
-                         }
-                         self->MarkAvailable();
-                         // Follow starts at the end offset of the first page, so that records
-                         // appended while further pages are read are delivered, some of them
-                         // twice.
-                         if (after.empty()) self->m_next = page.m_value->m_end;
-                         for (const auto& record : page.m_value->m_records)
-                           self->m_options.m_on_record(record);
-                         if (page.m_value->m_more && !page.m_value->m_records.empty()) {
-                           return self->ReadNewest(page.m_value->m_records.back().m_key);
-                         }
-                         self->Follow();
+                         if (page.Ok()) return self->OnNewestPage(after, *page.m_value);
+                         self->RetryAfterError(*page.m_error,
+                                               [self, after] { self->ReadNewest(after); });
                        });
                      });
 }
 
+void TopicWatch::OnNewestPage(const std::string& after, const platform::NewestPage& page) {
+  if (page.m_end < m_next) {
+    // The keys of an older state do not show which records were removed since.
+    return RetryAfterError({.m_kind = core::ErrorKind::kLogUnavailable,
+                            .m_message = "the store answered with a state older than one already "
+                                         "read; the read is repeated"},
+                           [self = shared_from_this()] { self->ReadNewest({}); });
+  }
+  MarkAvailable();
+  if (after.empty()) {
+    // Follow starts at the end offset of the first page, so that records appended while further
+    // pages are read are delivered, some of them twice.
+    m_next = page.m_end;
+    m_keys.clear();
+  }
+  for (const auto& record : page.m_records) {
+    if (!record.m_value.empty()) m_keys.insert(record.m_key);
+    m_options.m_on_record(record);
+  }
+  if (page.m_more && !page.m_records.empty()) return ReadNewest(page.m_records.back().m_key);
+  if (m_options.m_on_all_read) m_options.m_on_all_read(m_keys);
+  Follow();
+}
+
 void TopicWatch::Follow() {
   m_store.Read(m_options.m_topic, m_next, m_options.m_poll_wait,
                [self = shared_from_this()](core::Captured<platform::RecordPage> page) {
--- a/packages/platform/include/ebonypin/platform/users_platform.h
+++ b/packages/platform/include/ebonypin/platform/users_platform.h
@@ -17,6 +17,9 @@
   std::string m_config_topic;
   std::string m_config_key;
   std::function<core::Result<core::fleet::QueueTable>(const std::string&)> m_decode_config;
+  /// Prefix of the keys, in the same topic, of the records that request the evacuation of a failure
+  /// domain, whose name follows. A record's presence is the request; its value has no meaning.
+  std::string m_evacuation_prefix;
   /// Topics for the records of the scheduler.
   std::string m_jobs_topic;
   std::string m_coordinator_topic;
