Place and move serving tasks so that filling tasks keep room

Cause: on the shifted deployment 79 % of the processors are reserved by serving tasks, and nearly every worker runs two to four serving images. A filling image runs at its full share only where it disturbs none of them. The first placement cannot know which images disturb each other. Change: the room of a worker for filling tasks is its unused processors times the part that the filling images could use beside its serving images, by what was learned of the pairs. Serving tasks go where they take least of it. While filling work waits, they are moved there, or two are exchanged, when that gains three processors or more; one task of a step is away at a time, and a task stays 5 s at least.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/core/fleet/filling_room.h"
 #include "ebonypin/core/fleet/image_pairs.h"
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/pacing.h"
@@ -96,6 +97,15 @@
   double m_min_share = 0.7;
   /// A job without running tasks accepts any worker after this time.
   Duration m_max_placement_wait = std::chrono::milliseconds{1500};
+  /// Interval between two descriptions of the room for filling tasks. Images and what is known of
+  /// them change within seconds.
+  Duration m_filling_room_interval = std::chrono::milliseconds{500};
+  /// Least gain of room for filling tasks, in processors, for which a serving task is moved.
+  double m_min_room_gain = 3.0;
+  /// Serving tasks per move in one tick, so that a small part of them is away at a time.
+  std::size_t m_serving_tasks_per_move = 100;
+  /// Time for which a serving task stays after its start.
+  Duration m_min_serving_stay = std::chrono::seconds{5};
   /// Time after which an advice request without an answer is repeated.
   Duration m_advice_retry = std::chrono::milliseconds{1500};
   WorkerHealthOptions m_health;
@@ -197,7 +207,8 @@
   bool m_serving = false;
   ImageName m_image;
   Duration m_latency_target{};
-  double m_load = 0.0;  ///< Own load of a serving run; zero: not known.
+  double m_load = 0.0;      ///< Own load of a serving run; zero: not known.
+  bool m_stopping = false;  ///< A stop was ordered.
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
 
@@ -298,6 +309,8 @@
   std::vector<Decision> m_decisions;  ///< Not yet logged by the caller.
   CoordinatorCounters m_counters;
   ImagePairs m_pairs;
+  FillingRoom m_filling_room;    ///< According to `m_pairs`, for the placement of serving tasks.
+  Time m_filling_room_at;        ///< When `m_filling_room` was described; epoch: not yet.
   bool m_pairs_changed = false;  ///< Since `m_pairs_written`.
   Time m_pairs_written;
   std::optional<ImagePairsRecord> m_unwritten_pairs;  ///< Written with the next append.
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 #include "ebonypin/core/fleet/coordinator.h"
@@ -26,6 +27,15 @@
 /// Returns `cpu_millis` as a share of the worker's processors.
 [[nodiscard]] double ShareOf(const Agent& agent, std::int64_t cpu_millis) noexcept;
 
+/// Returns the room for filling tasks, in processors, on a worker whose serving tasks are of the
+/// images in `serving` and have `serving_cpu_millis` reserved.
+[[nodiscard]] double RoomBeside(const Coordinator& state, const Agent& agent,
+                                const std::set<ImageName>& serving,
+                                std::int64_t serving_cpu_millis);
+
+/// Returns the room for filling tasks, in processors, that the worker loses by the serving task.
+[[nodiscard]] double RoomLost(const TaskNeed& need, const Agent& agent);
+
 /// Returns whether the worker could run the task if it were empty.
 [[nodiscard]] bool IsEligible(const TaskNeed& need, const Agent& agent) noexcept;
 
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -64,6 +64,7 @@
       task->m_order = 0;
       task->m_stopping = false;
     }
+    agent.m_placed_runs.at(ref).m_stopping = false;
   }
 }
 
@@ -296,6 +297,9 @@
   if (task.m_stopping) return;
   Agent& agent = state.m_agents.at(task.m_agent);
   task.m_stopping = true;
+  if (const auto placed = agent.m_placed_runs.find(ref); placed != agent.m_placed_runs.end()) {
+    placed->second.m_stopping = true;
+  }
   ++state.m_counters.m_stops;
   Order& order = AddOrder(agent);
   order.m_kind = OrderKind::kStop;
@@ -513,6 +517,7 @@
     }
     state.m_silent_members.clear();
   }
+  MoveServingTasks(state, now);
   DropClosedJobs(state, wall);
   if (state.m_pairs_changed && now - state.m_pairs_written >= state.m_options.m_pairs_interval) {
     state.m_pairs_changed = false;
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -41,6 +41,14 @@
 /// Stops every run of a job that was cancelled or has failed.
 void StopJob(Coordinator& state, Job& job, const std::string& reason);
 
+/// Stops serving tasks that take much room for filling tasks where they run and little elsewhere,
+/// so that they are placed again.
+void MoveServingTasks(Coordinator& state, Time now);
+
+/// Describes the room for the filling images of open jobs and of measured pairs, unless that was
+/// done just before.
+void RefreshFillingRoom(Coordinator& state, Time now);
+
 /// Handles the end of a run. Repeated ends have no effect.
 void OnEnd(Coordinator& state, Time now, Agent& agent, const RunEnded& end);
 
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -367,6 +367,10 @@
     AddReady(ready, job, now, state.m_workers_added);
   }
   std::stable_sort(ready.begin(), ready.end(), ComesBefore);
+  const bool serves = std::any_of(ready.begin(), ready.end(), [](const ReadyStep& step) {
+    return step.m_job->m_spec.m_steps[step.m_step].m_latency_target > Duration{};
+  });
+  if (serves) RefreshFillingRoom(state, now);
   for (const auto& step : ready) {
     if (!HasAdvice(state, now, step)) continue;
     if (step.m_job->m_spec.m_steps[step.m_step].m_gang) {
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -1,7 +1,9 @@
 #include "ebonypin/core/fleet/worker_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <set>
 
 namespace ebonypin::core::fleet {
 namespace {
@@ -12,6 +14,7 @@
 constexpr double kPausedCost = 200.0;        // Paused: used only when there is no other worker.
 constexpr double kRackCost = 4.0;            // On another rack than the data or the gang.
 constexpr double kOtherImageCost = 0.3;      // Runs serving tasks of other images.
+constexpr double kRoomCost = 0.3;            // For each processor of room for filling tasks.
 constexpr double kFreeWorkerCost = 3.0;      // Runs no serving task: left free for filling tasks.
 constexpr double kShareCost = 8.0;           // For a filling task's share of zero.
 constexpr double kGrowthUsedCost = 4.0;      // For all of a serving image's allowed growth.
@@ -38,10 +41,6 @@
   return ShareOf(agent, agent.m_used.m_cpu_millis);
 }
 
-double ServingShare(const Agent& agent) noexcept {
-  return ShareOf(agent, agent.m_serving_cpu_millis);
-}
-
 /// Returns the rack of the first placed task of the step; empty when no task is placed.
 std::string RackOfStep(const TaskNeed& need) {
   for (const auto& task : need.m_step.m_tasks) {
@@ -65,6 +64,10 @@
   return worst;
 }
 
+double ServingShare(const Agent& agent) noexcept {
+  return ShareOf(agent, agent.m_serving_cpu_millis);
+}
+
 bool ServesOtherImages(const Agent& agent, const ImageName& image) noexcept {
   return std::any_of(agent.m_placed_runs.begin(), agent.m_placed_runs.end(),
                      [&](const auto& placed) {
@@ -80,6 +83,7 @@
   // Serving tasks are packed onto few workers, so that the others stay free of them.
   double cost = serving ? -ServingShare(agent) : CommittedShare(agent);
   if (!spec.m_fills && agent.m_serving == 0) cost += kFreeWorkerCost;
+  if (serving) cost += kRoomCost * RoomLost(need, agent);
   if (std::find(failed_on.begin(), failed_on.end(), agent.m_id) != failed_on.end()) {
     cost += kFailedThereCost;
   }
@@ -117,6 +121,27 @@
   return static_cast<double>(cpu_millis) / static_cast<double>(capacity);
 }
 
+double RoomBeside(const Coordinator& state, const Agent& agent, const std::set<ImageName>& serving,
+                  const std::int64_t serving_cpu_millis) {
+  const double reserved = state.m_options.m_serving_use * static_cast<double>(serving_cpu_millis);
+  const double unused = static_cast<double>(agent.m_worker.m_capacity.m_cpu_millis) - reserved;
+  return unused / 1000.0 * std::sqrt(UsablePart(state.m_filling_room, serving));
+}
+
+double RoomLost(const TaskNeed& need, const Agent& agent) {
+  std::set<ImageName> images;
+  std::int64_t cpu_millis = 0;
+  for (const auto& [ref, placed] : agent.m_placed_runs) {
+    if (!placed.m_serving || placed.m_stopping) continue;
+    images.insert(placed.m_image);
+    cpu_millis += placed.m_size.m_cpu_millis;
+  }
+  const double before = RoomBeside(need.m_state, agent, images, cpu_millis);
+  images.insert(need.m_spec.m_image);
+  return before -
+         RoomBeside(need.m_state, agent, images, cpu_millis + need.m_spec.m_size.m_cpu_millis);
+}
+
 bool IsEligible(const TaskNeed& need, const Agent& agent) noexcept {
   const auto& spec = need.m_spec;
   const auto& worker = agent.m_worker;
