Refuse submissions that a silent store never got

Cause: while the store was silent, submissions waited until their deadline and were then answered as unknown, although nothing about most of them had been sent. Submissions that reached no coordinator are refused instead of left unknown. A refusal after an attempt without an answer becomes unknown, because that attempt may still be under way.

--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -84,6 +84,24 @@
   return batch;
 }
 
+bool MustRefuseSubmissions(const Coordinator& state, const Time append_began,
+                           const Time now) noexcept {
+  return append_began != Time{} && now - append_began > state.m_options.m_append_patience;
+}
+
+std::set<JobId> WithdrawUnwritten(Coordinator& state) {
+  auto withdrawn = std::exchange(state.m_unwritten_jobs, {});
+  for (const auto& id : withdrawn) {
+    state.m_jobs.erase(id);
+    state.m_open_jobs.erase(id);
+    state.m_unwritten_progress.erase(id);
+    ++state.m_counters.m_refused;
+    LogFailure(state, "submission withdrawn", {.m_job = id}, 0, {},
+               "the store does not take records, and this one was not sent");
+  }
+  return withdrawn;
+}
+
 void OnWritten(Coordinator& state, const WriteBatch& batch) {
   for (const auto& id : batch.m_accepted) {
     if (Job* const job = FindJob(state, id)) job->m_recorded = true;
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(AFailedTaskIsTriedElsewhereAndFailsItsJobInTheEnd);
   CPPUNIT_TEST(ALongRunningTaskIsRestartedHoweverItEnds);
   CPPUNIT_TEST(ACancelledJobStopsItsRunsAndStartsNothing);
+  CPPUNIT_TEST(OnlySubmissionsThatWereNotSentAreWithdrawn);
   CPPUNIT_TEST(PendingCountsJobsThatHaveNotBegun);
   CPPUNIT_TEST(AnOccurrenceIsNotStartedBeforeItIsDue);
   CPPUNIT_TEST(AGangStartsAsAWholeUnderOneNumber);
@@ -156,6 +157,31 @@
   }
 
   /// Guards against a wrong queue length in the answers to callers.
+  /// Guards against a refusal of a job whose record may be in the store, and which then runs.
+  void OnlySubmissionsThatWereNotSentAreWithdrawn() {
+    Site site;
+    site.Join("a");
+    (void)site.Submit(MakeJob("sent"));
+    const auto batch = TakeWrites(site.m_state, site.m_wall);
+    (void)site.Submit(MakeJob("kept"));
+    (void)OnCall(site.m_state, site.m_now,
+                 {.m_kind = JobCallKind::kCancel, .m_job = MakeJob("kept")});
+    const Time began = site.m_now;
+    site.Advance(site.m_state.m_options.m_append_patience);
+    CPPUNIT_ASSERT(!MustRefuseSubmissions(site.m_state, began, site.m_now));
+    CPPUNIT_ASSERT(!MustRefuseSubmissions(site.m_state, {}, site.m_now));
+    site.Advance(1ms);
+    CPPUNIT_ASSERT(MustRefuseSubmissions(site.m_state, began, site.m_now));
+    CPPUNIT_ASSERT(WithdrawUnwritten(site.m_state) == std::set<JobId>{{"kept"}});
+    CPPUNIT_ASSERT(WithdrawUnwritten(site.m_state).empty());
+    CPPUNIT_ASSERT(!HasWrites(site.m_state));
+    OnWritten(site.m_state, batch);
+    const auto starts = site.Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT(starts[0].second.m_task == Ref("sent"));
+    CPPUNIT_ASSERT(!site.Submit(MakeJob("kept")).has_value());
+  }
+
   void PendingCountsJobsThatHaveNotBegun() {
     Site site;
     site.Join("a");
--- a/packages/daemon/scenarios/fleet_test.cc
+++ b/packages/daemon/scenarios/fleet_test.cc
@@ -161,6 +161,8 @@
   CPPUNIT_TEST(AStartCarriedOutLateStartsNoTaskTwice);
   CPPUNIT_TEST(WorkOfALostWorkerStartsElsewhere);
   CPPUNIT_TEST(ARestartedWorkerRunsItsTasksAnew);
+  CPPUNIT_TEST(ASubmissionThatASilentStoreDidNotGetIsRefused);
+  CPPUNIT_TEST(ASubmissionWithoutACoordinatorIsRefused);
   CPPUNIT_TEST(AcceptedJobsSurviveALossOfPower);
   CPPUNIT_TEST_SUITE_END();
 
@@ -285,6 +287,33 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return site.Running() == 1 && site.Starts() == 1; }));
   }
 
+  /// Guards against callers that are left in doubt, or wait until their deadline, while the store
+  /// is silent: a submission that was not sent to it has not run.
+  void ASubmissionThatASilentStoreDidNotGetIsRefused() {
+    FleetSite site(1, 1);
+    site.SetStoreFaults(R"({"lose_answers":2})");
+    std::thread first([&] { (void)site.Submit(0, kJob, "run 1"); });
+    std::this_thread::sleep_for(100ms);  // The first submission is in an append without an answer.
+    const auto refused = site.Submit(0, kOtherJob, "run 1");
+    first.join();
+    CPPUNIT_ASSERT_EQUAL(503, refused.m_status);
+    CPPUNIT_ASSERT(!refused.m_retry_after.empty());
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kJob) == "done"; }));
+    CPPUNIT_ASSERT_EQUAL(410, site.Call(0, "GET", "/renders/" + kOtherJob).m_status);
+    CPPUNIT_ASSERT_EQUAL(200, site.Submit(0, kOtherJob, "run 1").m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kOtherJob) == "done"; }));
+  }
+
+  /// Guards against a doubtful answer, after which a caller may not try again, when no coordinator
+  /// was found: nothing was sent.
+  void ASubmissionWithoutACoordinatorIsRefused() {
+    FleetSite site(1, 0, false);
+    site.PutConfig(1, "/renders/");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, site.Coordinator());
+    site.Entry(0).BeginDrain();
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Submit(0, kJob, "run 1").m_status == 503; }));
+  }
+
   /// Guards against accepted work that was kept only in memory.
   void AcceptedJobsSurviveALossOfPower() {
     FleetSite site(2, 1);
--- a/packages/daemon/src/fleet/call_router.cc
+++ b/packages/daemon/src/fleet/call_router.cc
@@ -15,6 +15,7 @@
   core::fleet::JobCall m_call;
   core::Time m_deadline;
   JobCallDone m_done;
+  bool m_may_have_run = false;  ///< An attempt may have taken effect.
 };
 
 CallRouter::CallRouter(std::shared_ptr<EventThread> events, wire::Rpc& rpc,
@@ -63,12 +64,22 @@
   }
   const bool retryable =
       reply.m_status == JobCallStatus::kNotCoordinator || reply.m_status == JobCallStatus::kUnknown;
-  if (!retryable) return pending->m_done(reply);
+  if (reply.m_status == JobCallStatus::kUnknown) pending->m_may_have_run = true;
+  if (!retryable) {
+    JobCallReply final_reply = reply;
+    // An earlier attempt may still be under way, and be accepted after this one was refused.
+    if (reply.m_status == JobCallStatus::kRefused && pending->m_may_have_run) {
+      final_reply.m_status = JobCallStatus::kUnknown;
+    }
+    return pending->m_done(final_reply);
+  }
   if (BootNow() + m_options.m_retry_delay >= pending->m_deadline) {
-    // An earlier attempt may have been accepted, so the call cannot be reported as not run.
-    JobCallReply unknown = reply;
-    unknown.m_status = JobCallStatus::kUnknown;
-    return pending->m_done(unknown);
+    JobCallReply last = reply;
+    const bool submits = pending->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
+    last.m_status =
+        submits && !pending->m_may_have_run ? JobCallStatus::kRefused : JobCallStatus::kUnknown;
+    last.m_retry_after = m_options.m_retry_after;
+    return pending->m_done(last);
   }
   m_events->At(Now() + m_options.m_retry_delay, [this, pending] { Attempt(pending); });
 }
--- a/packages/daemon/src/fleet/call_router.h
+++ b/packages/daemon/src/fleet/call_router.h
@@ -14,6 +14,8 @@
   core::Duration m_budget = std::chrono::milliseconds{1500};
   /// Timeout of one attempt.
   core::Duration m_attempt_timeout = std::chrono::milliseconds{800};
+  /// Retry-After when no coordinator was found; a takeover takes about 2 s.
+  core::Duration m_retry_after = std::chrono::seconds{1};
   /// Delay before the next attempt.
   core::Duration m_retry_delay = std::chrono::milliseconds{120};
 };
@@ -25,7 +27,8 @@
              CallRouterOptions options = {});
 
   /// Calls `done` once, within the shorter of `budget` and the router's own budget. The status is
-  /// never kNotCoordinator.
+  /// never kNotCoordinator. A submission that no attempt can have brought to a coordinator is
+  /// refused, since it has not run.
   void Call(core::fleet::JobCall call, core::Duration budget, JobCallDone done);
 
  private:
--- a/packages/daemon/src/fleet/coordinator_office.cc
+++ b/packages/daemon/src/fleet/coordinator_office.cc
@@ -295,12 +295,15 @@
   m_leadership.m_stage = LeadershipStage::kFollower;
   m_leadership.m_released = false;
   m_batch_open = m_batch_in_flight = false;
+  const auto unwritten = WithdrawUnwritten(m_state);
   m_state = {};
   m_orders_in_flight.clear();
   m_next_orders.clear();
-  m_appends_failing_since = {};
+  m_append_began = m_appends_failing_since = {};
   for (auto& waiter : std::exchange(m_waiters, {})) {
-    waiter.m_done({.m_status = JobCallStatus::kUnknown, .m_reason = "the coordinator changed"});
+    const bool sent = unwritten.count(waiter.m_call.m_job.m_id) == 0;
+    waiter.m_done({.m_status = sent ? JobCallStatus::kUnknown : JobCallStatus::kNotCoordinator,
+                   .m_reason = "the coordinator changed"});
   }
 }
 
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -36,9 +36,10 @@
 constexpr auto kOrdersDeadline = 600ms;
 constexpr auto kOrdersRetryDelay = 120ms;
 constexpr std::size_t kMaxOrdersPerCall = 32;
-/// After appends have failed for this long, new submissions are refused without waiting.
-constexpr auto kAppendFailureLimit = 400ms;
+/// Retry-After while the store does not take records. Callers wait about 3 s in all, so a longer
+/// one would leave them no second try.
 constexpr auto kStoreRetryAfter = 1s;
+constexpr auto kStoreSilentReason = "the store does not take records; retry later";
 
 platform::KeyedRecord ToRecord(const core::fleet::RecordChange& change) {
   return std::visit(
@@ -93,12 +94,11 @@
   const auto now = BootNow();
   const bool is_new = call.m_kind == core::fleet::JobCallKind::kSubmit &&
                       m_state.m_jobs.count(call.m_job.m_id) == 0;
-  if (is_new && m_appends_failing_since != core::Time{} &&
-      now - m_appends_failing_since > kAppendFailureLimit) {
+  if (is_new && MustRefuseSubmissions(m_state, m_append_began, now)) {
     ++m_state.m_counters.m_refused;
     return done({.m_status = JobCallStatus::kRefused,
                  .m_retry_after = kStoreRetryAfter,
-                 .m_reason = "the store does not take records"});
+                 .m_reason = kStoreSilentReason});
   }
   auto reply = OnCall(m_state, now, call);
   ScheduleCycle();
@@ -226,6 +226,8 @@
   m_batch_records.clear();
   for (const auto& change : m_batch.m_records) m_batch_records.push_back(ToRecord(change));
   m_batch_open = true;
+  m_append_began = now;
+  ScheduleRefusals();
   ++m_sequence;
   SendBatch();
 }
@@ -251,6 +253,7 @@
         LogEvent(kLogAvailable, {{"topic", m_options.m_jobs_topic}});
       }
       m_appends_failing_since = {};
+      m_append_began = {};
       m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
       m_batch_open = false;
       m_next_append = sent + kAppendInterval;
@@ -277,6 +280,32 @@
   }
 }
 
+void CoordinatorService::ScheduleRefusals() {
+  m_events->At(Now() + m_state.m_options.m_append_patience + kCycleDelay,
+               [this, epoch = m_leadership.m_epoch, sequence = m_sequence + 1] {
+                 const bool same = epoch == m_leadership.m_epoch && sequence == m_sequence;
+                 if (IsActive() && same) RefuseUnwritten();
+               });
+}
+
+void CoordinatorService::RefuseUnwritten() {
+  if (!MustRefuseSubmissions(m_state, m_append_began, BootNow())) return;
+  const auto withdrawn = WithdrawUnwritten(m_state);
+  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+    if (withdrawn.count(waiter->m_call.m_job.m_id) == 0) {
+      ++waiter;
+      continue;
+    }
+    const bool submits = waiter->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
+    waiter->m_done(submits ? JobCallReply{.m_status = JobCallStatus::kRefused,
+                                          .m_retry_after = kStoreRetryAfter,
+                                          .m_reason = kStoreSilentReason}
+                           : JobCallReply{.m_status = JobCallStatus::kNoSuchJob});
+    waiter = m_waiters.erase(waiter);
+  }
+  LogDecisions();
+}
+
 void CoordinatorService::ResumeWaiters() {
   for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
     auto reply = Resume(m_state, waiter->m_call);
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -109,6 +109,10 @@
   void Flush();
   void SendBatch();
   void OnAppended(core::Time sent, const platform::AppendReply& reply);
+  /// Arranges for RefuseUnwritten to be called when the append that begins now is overdue.
+  void ScheduleRefusals();
+  /// Refuses the submissions that wait for an overdue append and are not part of it.
+  void RefuseUnwritten();
   void ResumeWaiters();
   void LogDecisions();
   void Tick();
@@ -140,6 +144,7 @@
   std::vector<platform::KeyedRecord> m_batch_records;
   std::uint64_t m_sequence = 0;
   core::Time m_next_append;
+  core::Time m_append_began;           ///< Of the open batch; clock epoch: there is none.
   core::Time m_appends_failing_since;  ///< Clock epoch while appends succeed.
 };
 
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -46,8 +46,6 @@
 constexpr auto kDefaultDeadline = 3000ms;
 /// Retry-After while no configuration is known; the first one arrives within seconds.
 constexpr auto kNoConfigRetryAfter = 1s;
-/// Retry-After when the coordinator does not answer: a takeover takes about 2 s.
-constexpr auto kNoCoordinatorRetryAfter = 1s;
 /// Retry-After of an entry that has stopped. Other entries can serve the call at once, but
 /// Retry-After has a resolution of one second.
 constexpr auto kStoppedRetryAfter = 1s;
@@ -92,7 +90,6 @@
     case JobCallStatus::kNotCoordinator:
     case JobCallStatus::kUnknown:
       answer.m_status = JobApiStatus::kUnknown;
-      answer.m_retry_after = kNoCoordinatorRetryAfter;
       return answer;
   }
   return answer;
