Stop waiting for members whose worker the platform no longer lists

Cause: after a takeover, tasks of inherited jobs wait until all recorded members have reported, or until all grants of earlier epochs have ended: 15.6 s when the predecessor does not answer. Ways weighed: agents that report their worker's leave (the agent is gone too when its instance is replaced); a shorter authority of the coordinator (outages of the store would stop work); the platform's list of machines (chosen: a worker that is not on a machine that is up runs nothing). Change: member records name the worker, and are written again before the agent's next worker gets a grant. A list that cannot be read changes nothing.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -40,7 +40,8 @@
   std::string m_store_url;  ///< Base URL of the platform's store.
   /// Shortest time-to-live that the store accepts for a group membership.
   core::Duration m_store_shortest_membership = std::chrono::seconds{1};
-  std::string m_advice_url;  ///< Base URL of the advice service; empty: none.
+  std::string m_advice_url;    ///< Base URL of the advice service; empty: none.
+  std::string m_machines_url;  ///< Base URL of the list of machines; empty: none.
 
   // [worker], agents only
   std::string m_worker_url;  ///< Base URL of the platform's worker interface.
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -220,6 +220,9 @@
           "Shortest time-to-live that the store accepts for a group membership."),
       Key("advice", "url", Url(&S::m_advice_url), {.m_example = "http://127.0.0.1:7501"},
           "Base URL of the advice service for workers; without it, queues that need advice wait."),
+      Key("machines", "url", Url(&S::m_machines_url), {.m_example = "http://127.0.0.1:7502"},
+          "Base URL of the platform's list of machines; without it, a new coordinator waits for "
+          "members that were removed."),
       Key("worker", "url", Url(&S::m_worker_url),
           {.m_required = RequiredBy::kBothAgents, .m_example = "http://127.0.0.1:7301"},
           "Base URL of the worker's interface."),
--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -109,6 +109,9 @@
   std::size_t m_serving_tasks_per_move = 100;
   /// Time for which a serving task stays after its start.
   Duration m_min_serving_stay = std::chrono::seconds{5};
+  /// Least time between two lists of workers that show a worker as ended. The list may lag behind a
+  /// worker that has just started.
+  Duration m_unlisted_time = std::chrono::milliseconds{1000};
   /// Time after which an advice request without an answer is repeated.
   Duration m_advice_retry = std::chrono::milliseconds{1500};
   WorkerHealthOptions m_health;
@@ -246,6 +249,15 @@
   bool m_evacuated = false;  ///< Its failure domain is under evacuation: nothing starts there.
 };
 
+/// Member of an earlier epoch that has not reported in this one.
+struct SilentMember {
+  std::string m_rpc_address;
+  WorkerId m_worker;      ///< Empty: not known.
+  Time m_unlisted_since;  ///< Since when the platform does not list the worker; epoch: it does, or
+                          ///< was not asked.
+  friend bool operator==(const SilentMember&, const SilentMember&) = default;
+};
+
 /// Request to the advice service on the workers that may run a step.
 struct AdviceRequest {
   TaskRef m_step;  ///< The index is not used.
@@ -257,7 +269,7 @@
   std::vector<RecordChange> m_records;
   std::vector<JobId> m_accepted;
   std::vector<std::pair<JobId, JobPhase>> m_recorded_phases;
-  std::vector<AgentId> m_members;
+  std::vector<MemberRecord> m_members;
   struct RecordedEnds {
     AgentId m_agent;
     std::int64_t m_born = 0;
@@ -297,8 +309,7 @@
   std::map<AgentId, Agent> m_agents;
   std::uint64_t m_workers_added = 0;  ///< Number of times that a worker became ready for orders.
   AgentId m_next_compared;            ///< Where the next search for a filling task begins.
-  /// Members of earlier epochs that have not reported in this one, with their addresses.
-  std::map<AgentId, std::string> m_silent_members;
+  std::map<AgentId, SilentMember> m_silent_members;
   Time m_silent_until;  ///< All grants of earlier epochs have ended by this time.
   std::set<std::string> m_evacuated_domains;  ///< See SetEvacuations.
   std::uint64_t m_next_session = 1;
@@ -352,6 +363,11 @@
 /// are withdrawn; runs that have started go on.
 void SetEvacuations(Coordinator& state, std::set<std::string> domains);
 
+/// Handles a complete list of the workers on machines that are up, which the platform was asked for
+/// at `asked`. A silent member whose worker is missing from two lists has no runs: a worker that
+/// ends ends its runs. It is not waited for any longer.
+void OnLiveWorkers(Coordinator& state, Time asked, const std::set<WorkerId>& workers);
+
 /// Handles expired grants, stalled runs, runs on draining workers, slow filling tasks and closed
 /// jobs whose retention has ended. Call it periodically.
 void Tick(Coordinator& state, Time now, WallMillis wall);
--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -46,6 +46,7 @@
 struct MemberRecord {
   AgentId m_agent;
   std::string m_rpc_address;
+  WorkerId m_worker;  ///< Its worker; empty in records of earlier versions.
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -354,10 +354,10 @@
     return reply;
   }
   agent.m_last_report = report.m_number;
-  if (agent.m_rpc_address != report.m_rpc_address) {
-    agent.m_rpc_address = report.m_rpc_address;
+  if (agent.m_rpc_address != report.m_rpc_address || agent.m_worker.m_id != report.m_worker.m_id) {
     agent.m_recorded = agent.m_record_asked = false;
   }
+  agent.m_rpc_address = report.m_rpc_address;
   agent.m_worker = report.m_worker;
   agent.m_evacuated = state.m_evacuated_domains.count(agent.m_worker.m_domain) > 0;
   // A member recorded in an earlier epoch may have runs, so its report counts before a new record
@@ -392,10 +392,12 @@
 }
 
 void Restore(Coordinator& state, const MemberRecord& member) {
-  state.m_silent_members[member.m_agent] = member.m_rpc_address;
+  state.m_silent_members[member.m_agent] = {.m_rpc_address = member.m_rpc_address,
+                                            .m_worker = member.m_worker};
   Agent& agent = state.m_agents[member.m_agent];
   agent.m_id = member.m_agent;
   agent.m_rpc_address = member.m_rpc_address;
+  agent.m_worker.m_id = member.m_worker;
   agent.m_recorded = true;
 }
 
@@ -410,6 +412,13 @@
 
 namespace {
 
+void RemoveSilentMember(Coordinator& state, const AgentId& member, std::string reason) {
+  DropMember(state, member);
+  auto& agent = state.m_agents[member];
+  agent.m_recorded = agent.m_record_asked = false;
+  LogFailure(state, "member removed", {}, 0, member, std::move(reason));
+}
+
 void EndGrant(Coordinator& state, const Time now, Agent& agent) {
   agent.m_session = 0;
   agent.m_orders.clear();
@@ -491,6 +500,24 @@
 
 }  // namespace
 
+void OnLiveWorkers(Coordinator& state, const Time asked, const std::set<WorkerId>& workers) {
+  for (auto entry = state.m_silent_members.begin(); entry != state.m_silent_members.end();) {
+    auto& [id, member] = *entry;
+    const bool ended = !member.m_worker.IsEmpty() && workers.count(member.m_worker) == 0;
+    if (!ended) {
+      member.m_unlisted_since = {};
+    } else if (member.m_unlisted_since == Time{}) {
+      member.m_unlisted_since = asked;
+    }
+    if (!ended || asked - member.m_unlisted_since < state.m_options.m_unlisted_time) {
+      ++entry;
+      continue;
+    }
+    RemoveSilentMember(state, id, "the platform does not list its worker any more");
+    entry = state.m_silent_members.erase(entry);
+  }
+}
+
 void Tick(Coordinator& state, const Time now, const WallMillis wall) {
   const Duration limit = state.m_options.m_grant + state.m_options.m_lapse_slack;
   for (auto& [id, agent] : state.m_agents) {
@@ -509,11 +536,8 @@
     }
   }
   if (!state.m_silent_members.empty() && now >= state.m_silent_until) {
-    for (const auto& [member, address] : state.m_silent_members) {
-      DropMember(state, member);
-      auto& agent = state.m_agents[member];
-      agent.m_recorded = agent.m_record_asked = false;
-      LogFailure(state, "member removed", {}, 0, member, "silent since the coordinator changed");
+    for (const auto& [id, member] : state.m_silent_members) {
+      RemoveSilentMember(state, id, "silent since the coordinator changed");
     }
     state.m_silent_members.clear();
   }
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -39,6 +39,11 @@
   return progress;
 }
 
+MemberRecord RecordOf(const Agent& agent) {
+  return {
+      .m_agent = agent.m_id, .m_rpc_address = agent.m_rpc_address, .m_worker = agent.m_worker.m_id};
+}
+
 }  // namespace
 
 bool HasWrites(const Coordinator& state) noexcept {
@@ -70,8 +75,8 @@
   }
   for (const auto& id : std::exchange(state.m_unwritten_members, {})) {
     const auto& agent = state.m_agents.at(id);
-    batch.m_records.emplace_back(MemberRecord{.m_agent = id, .m_rpc_address = agent.m_rpc_address});
-    batch.m_members.push_back(id);
+    batch.m_members.push_back(RecordOf(agent));
+    batch.m_records.emplace_back(batch.m_members.back());
   }
   if (state.m_unwritten_pairs) {
     batch.m_records.emplace_back(*std::exchange(state.m_unwritten_pairs, std::nullopt));
@@ -109,9 +114,10 @@
   for (const auto& [id, phase] : batch.m_recorded_phases) {
     if (Job* const job = FindJob(state, id)) job->m_recorded_phase = phase;
   }
-  for (const auto& id : batch.m_members) {
-    auto& agent = state.m_agents.at(id);
-    agent.m_recorded = agent.m_record_asked;
+  for (const auto& member : batch.m_members) {
+    auto& agent = state.m_agents.at(member.m_agent);
+    // The agent may have reported another address or worker while the record was written.
+    agent.m_recorded = agent.m_record_asked && member == RecordOf(agent);
     ++state.m_workers_added;
   }
   for (const auto& ends : batch.m_ends) {
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 #include "ebonypin/core/fleet/coordinator.h"
 #include "fleet_fixture.h"
 
@@ -8,10 +10,29 @@
 
 using namespace std::chrono_literals;
 
+std::string MemberName(const int number) { return "m-" + std::to_string(number); }
+
+/// Returns a site whose new coordinator inherits one job and `members` members that are silent.
+Site TakenOver(const int members) {
+  Site site;
+  site.m_state.m_epoch = 2;
+  Restore(site.m_state, site.m_now, MakeServingJob("watch", 1, {"search"}));
+  for (int i = 0; i < members; ++i) {
+    Restore(site.m_state, MemberRecord{.m_agent = {MemberName(i)},
+                                       .m_rpc_address = MemberName(i),
+                                       .m_worker = {"w-" + MemberName(i)}});
+  }
+  FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
+  return site;
+}
+
 /// Takeover by a new coordinator.
 class CoordinatorTakeoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CoordinatorTakeoverTest);
   CPPUNIT_TEST(InheritedWorkWaitsForSilentMembers);
+  CPPUNIT_TEST(InheritedWorkDoesNotWaitForWorkersThatEnded);
+  CPPUNIT_TEST(ACutOffWorkerIsWaitedFor);
+  CPPUNIT_TEST(AMemberIsRecordedAnewWithItsNextWorker);
   CPPUNIT_TEST(ListedRunsAreAdopted);
   CPPUNIT_TEST(ARestartedAgentIsToldWhatItsRunsAre);
   CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
@@ -43,6 +64,65 @@
     }));
   }
 
+  /// Guards against lasting tasks that stay away for a quarter of a minute because a coordinator
+  /// died while workers were being removed: of 300 members a tenth never reports again.
+  void InheritedWorkDoesNotWaitForWorkersThatEnded() {
+    constexpr int kMembers = 300;
+    Site site = TakenOver(kMembers);
+    std::set<WorkerId> live;
+    for (int i = 0; i < kMembers; ++i) {
+      if (i % 10 == 0) continue;
+      site.Join(MemberName(i));
+      live.insert({"w-" + MemberName(i)});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kMembers / 10}, site.m_state.m_silent_members.size());
+    OnLiveWorkers(site.m_state, site.m_now, live);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    site.Advance(site.m_state.m_options.m_unlisted_time);
+    OnLiveWorkers(site.m_state, site.m_now, live);
+    CPPUNIT_ASSERT(site.m_state.m_silent_members.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    // The records of the ended members are removed, so that a later coordinator does not wait.
+    const auto batch = TakeWrites(site.m_state, site.m_wall);
+    CPPUNIT_ASSERT_EQUAL(
+        std::ptrdiff_t{kMembers / 10},
+        std::count_if(batch.m_records.begin(), batch.m_records.end(), [](const auto& record) {
+          return std::holds_alternative<RemovedRecord>(record);
+        }));
+  }
+
+  /// Guards against a second run of a task that runs on at a worker which cannot be reached, and
+  /// against one list that missed a worker.
+  void ACutOffWorkerIsWaitedFor() {
+    Site site = TakenOver(1);
+    const std::set<WorkerId> live{{"w-" + MemberName(0)}};
+    site.Join("b");
+    for (const auto& listed : {std::set<WorkerId>{}, live, std::set<WorkerId>{}, live}) {
+      OnLiveWorkers(site.m_state, site.m_now, listed);
+      site.Advance(site.m_state.m_options.m_unlisted_time);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.m_state.m_silent_members.size());
+    CPPUNIT_ASSERT(site.Starts().empty());
+  }
+
+  /// Guards against a successor that takes an agent's next worker for ended because the record
+  /// names the one before it.
+  void AMemberIsRecordedAnewWithItsNextWorker() {
+    Site site;
+    site.Join("a");
+    auto report = site.Report("a");
+    report.m_worker.m_id = {"next"};
+    CPPUNIT_ASSERT(OnReport(site.m_state, site.m_now, report).m_grant == Duration{});
+    const auto batch = TakeWrites(site.m_state, site.m_wall);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.m_members.size());
+    CPPUNIT_ASSERT_EQUAL(std::string{"next"}, batch.m_members[0].m_worker.m_value);
+    report.m_worker.m_id = {"one after"};
+    report.m_number += 100;
+    (void)OnReport(site.m_state, site.m_now, report);
+    OnWritten(site.m_state, batch);
+    CPPUNIT_ASSERT(!site.m_state.m_agents.at({"a"}).m_recorded);
+  }
+
   /// Guards against a takeover that stops running tasks or starts them twice.
   void ListedRunsAreAdopted() {
     Site site;
--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -84,6 +84,7 @@
 inline const Event kStoreCallFailed = DefineEvent(606, EventLevel::kWarn, "store call failed");
 inline const Event kAdviceFailed = DefineEvent(607, EventLevel::kWarn, "advice failed");
 inline const Event kCandidacyChanged = DefineEvent(608, EventLevel::kInfo, "candidacy changed");
+inline const Event kMachinesNotRead = DefineEvent(609, EventLevel::kWarn, "list of machines not read");
 inline const Event kRunDecision = DefineEvent(610, EventLevel::kInfo, "run decision");
 inline const Event kCallAnswered = DefineEvent(611, EventLevel::kInfo, "call answered");
 inline const Event kWorkerCallAnswered = DefineEvent(612, EventLevel::kInfo, "worker call answered");
--- a/packages/daemon/src/fleet/coordinator_office.cc
+++ b/packages/daemon/src/fleet/coordinator_office.cc
@@ -1,6 +1,5 @@
 /// Leadership of the coordinator: election, fencing, recovery of the state, and stepping down.
 #include <cmath>
-#include <set>
 #include <utility>
 
 #include "boot_clock.h"
@@ -19,12 +18,10 @@
 using platform::AppendStatus;
 using namespace std::chrono_literals;
 
-constexpr auto kGroup = "ebonypin.coordinator";
 constexpr auto kWriterName = "ebonypin.coordinator";
 /// While the partition is not held, joins do not confirm leadership. The active coordinator then
 /// asks the store at this interval whether its epoch is still the latest.
 constexpr auto kConfirmInterval = 1s;
-constexpr auto kAnnounceDeadline = 600ms;
 /// Intervals between two reads of the group's members. Non-candidates read more often: when all
 /// larger entries are lost, there is no coordinator until a non-candidate reads the members again.
 constexpr auto kCandidateCheckInterval = 5000ms;
@@ -50,7 +47,7 @@
 }
 
 void CoordinatorService::LeaveGroup() {
-  m_store.Leave(kGroup, MemberName(OwnCandidate()), m_generation);
+  m_store.Leave(kCoordinatorGroup, MemberName(OwnCandidate()), m_generation);
 }
 
 core::Duration CoordinatorService::FirstCandidacyCheckDelay() const noexcept {
@@ -64,17 +61,17 @@
   if (m_leaving) return;
   m_events->At(Now() + (m_is_candidate ? kCandidateCheckInterval : kNonCandidateCheckInterval),
                [this] { CheckCandidacy(); });
-  m_store.Members(
-      kGroup, [this, events = m_events](core::Captured<std::vector<std::string>> members) {
-        if (!members.Ok()) {
-          // Candidacy stays as it is while the store is unavailable.
-          LogEvent(kStoreCallFailed, {{"call", "members"}, {"reason", members.m_error->m_message}});
-          return;
-        }
-        events->Post([this, members = std::move(*members.m_value)] {
-          if (!m_leaving) OnMembers(members);
-        });
-      });
+  m_store.Members(kCoordinatorGroup, [this, events = m_events](
+                                         core::Captured<std::vector<std::string>> members) {
+    if (!members.Ok()) {
+      // Candidacy stays as it is while the store is unavailable.
+      LogEvent(kStoreCallFailed, {{"call", "members"}, {"reason", members.m_error->m_message}});
+      return;
+    }
+    events->Post([this, members = std::move(*members.m_value)] {
+      if (!m_leaving) OnMembers(members);
+    });
+  });
 }
 
 void CoordinatorService::OnMembers(const std::vector<std::string>& members) {
@@ -99,7 +96,7 @@
 
 void CoordinatorService::JoinOnce() {
   const auto sent = BootNow();
-  m_store.Join(kGroup, MemberName(OwnCandidate()), m_options.m_coordinator_topic,
+  m_store.Join(kCoordinatorGroup, MemberName(OwnCandidate()), m_options.m_coordinator_topic,
                m_options.m_leadership.m_ttl, m_generation,
                [this, events = m_events, sent](core::Captured<platform::GroupReply> reply) {
                  events->Post([this, sent, reply = std::move(reply)] {
@@ -252,43 +249,10 @@
                });
   }
   Announce();
+  CheckSilentMembers();
   ScheduleCycle();
 }
 
-void CoordinatorService::Announce() {
-  for (const auto& [id, agent] : m_state.m_agents) AnnounceTo(agent.m_rpc_address);
-  m_store.Members(kGroup, [this,
-                           events = m_events](core::Captured<std::vector<std::string>> members) {
-    events->Post([this, members = std::move(members)] {
-      if (!members.Ok()) {
-        LogEvent(kStoreCallFailed, {{"call", "members"}, {"reason", members.m_error->m_message}});
-        return;
-      }
-      std::set<std::string> addresses;
-      for (const auto& member : *members.m_value) {
-        if (const auto other = core::fleet::ParseMember(member)) {
-          addresses.insert(other->m_rpc_address);
-        }
-      }
-      addresses.erase(m_options.m_rpc_address);
-      for (const auto& address : addresses) AnnounceTo(address);
-    });
-  });
-}
-
-void CoordinatorService::AnnounceTo(const std::string& rpc_address) {
-  if (!IsActive()) return;
-  m_rpc.Call(rpc_address,
-             core::fleet::AgentOrders{.m_epoch = m_leadership.m_epoch,
-                                      .m_coordinator = m_options.m_rpc_address},
-             kAnnounceDeadline, [this](const wire::CallResult& result) {
-               const auto* const reply = result.Get<core::fleet::AgentOrdersReply>();
-               // Tick repeats the announcement to members that stay silent.
-               if (reply == nullptr) return;
-               m_events->Post([this, epoch = reply->m_epoch] { ObserveCoordinator(epoch, {}); });
-             });
-}
-
 void CoordinatorService::BecomeFollower(const std::string& reason) {
   if (m_leadership.m_stage == LeadershipStage::kFollower) return;
   LogEvent(kLeadershipEnded, {{"epoch", m_leadership.m_epoch}, {"reason", reason}});
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -66,11 +66,13 @@
 CoordinatorService::CoordinatorService(std::shared_ptr<EventThread> events,
                                        platform::KeyedStore& store, wire::Rpc& rpc,
                                        platform::AdviceService* advice,
+                                       platform::MachineList* machines,
                                        CoordinatorServiceOptions options)
     : m_events(std::move(events)),
       m_store(store),
       m_rpc(rpc),
       m_advice(advice),
+      m_machines(machines),
       m_options(std::move(options)),
       m_leadership{.m_options = m_options.m_leadership} {}
 
@@ -259,7 +261,7 @@
       m_next_append = sent + kAppendInterval;
       OnWritten(m_state, m_batch);
       for (const auto& member : m_batch.m_members) {
-        AnnounceTo(m_state.m_agents.at(member).m_rpc_address);
+        AnnounceTo(member.m_rpc_address);
       }
       ResumeWaiters();
       return ScheduleCycle();
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -21,10 +21,14 @@
 #include "ebonypin/core/fleet/leadership.h"
 #include "ebonypin/platform/advice.h"
 #include "ebonypin/platform/keyed_store.h"
+#include "ebonypin/platform/machine_list.h"
 #include "ebonypin/wire/rpc.h"
 
 namespace ebonypin::daemon {
 
+/// Group of the store whose members are the candidates for the leadership.
+inline constexpr auto kCoordinatorGroup = "ebonypin.coordinator";
+
 using JobCallDone = std::function<void(core::fleet::JobCallReply)>;
 
 struct CoordinatorServiceOptions {
@@ -48,7 +52,7 @@
  public:
   CoordinatorService(std::shared_ptr<EventThread> events, platform::KeyedStore& store,
                      wire::Rpc& rpc, platform::AdviceService* advice,
-                     CoordinatorServiceOptions options);
+                     platform::MachineList* machines, CoordinatorServiceOptions options);
 
   void Start();
 
@@ -82,6 +86,12 @@
     JobCallDone m_done;
   };
 
+  /// Workers that the platform lists as live.
+  struct LiveWorkers {
+    core::Time m_asked;
+    std::set<core::fleet::WorkerId> m_workers;
+  };
+
   [[nodiscard]] core::fleet::Candidate OwnCandidate() const;
   [[nodiscard]] core::Duration FirstCandidacyCheckDelay() const noexcept;
   void CheckCandidacy();
@@ -101,6 +111,10 @@
   void Activate(const core::fleet::CoordinatorRecord& previous);
   void Announce();
   void AnnounceTo(const std::string& rpc_address);
+  /// Reads the list of machines at intervals until no member is silent.
+  void CheckSilentMembers();
+  /// Adds the page and those after it to `found`, and applies it after the last one.
+  void ReadMachines(const std::string& page, const std::shared_ptr<LiveWorkers>& found);
   void BecomeFollower(const std::string& reason);
   void ScheduleCycle();
   void RunCycle();
@@ -121,6 +135,7 @@
   platform::KeyedStore& m_store;
   wire::Rpc& m_rpc;
   platform::AdviceService* const m_advice;
+  platform::MachineList* const m_machines;
   const CoordinatorServiceOptions m_options;
   core::fleet::Leadership m_leadership;
   core::fleet::Coordinator m_state;
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -117,6 +117,9 @@
     if (!m_settings.m_advice_url.empty()) {
       m_advice = m_platform.m_advice(m_settings.m_advice_url);
     }
+    if (!m_settings.m_machines_url.empty()) {
+      m_machines = m_platform.m_machines(m_settings.m_machines_url);
+    }
     m_rpc = StartRpc(m_settings, m_events,
                      [this](const core::Message& message, wire::ReplyFunction reply) {
                        ServeMessage(message, std::move(reply));
@@ -130,7 +133,7 @@
     auto& ttl = options.m_leadership.m_ttl;
     ttl = std::max(ttl, m_settings.m_store_shortest_membership);
     m_coordinator = std::make_unique<CoordinatorService>(m_events, *m_store, *m_rpc, m_advice.get(),
-                                                         std::move(options));
+                                                         m_machines.get(), std::move(options));
     m_router = std::make_unique<CallRouter>(m_events, *m_rpc, *m_coordinator);
     WatchConfig();
     m_coordinator_watch =
@@ -354,6 +357,7 @@
   const std::shared_ptr<EventThread> m_events = std::make_shared<EventThread>();
   std::unique_ptr<platform::KeyedStore> m_store;
   std::unique_ptr<platform::AdviceService> m_advice;
+  std::unique_ptr<platform::MachineList> m_machines;
   std::unique_ptr<wire::Rpc> m_rpc;
   std::unique_ptr<CoordinatorService> m_coordinator;
   std::unique_ptr<CallRouter> m_router;
--- a/packages/platform/include/ebonypin/platform/users_platform.h
+++ b/packages/platform/include/ebonypin/platform/users_platform.h
@@ -8,6 +8,7 @@
 #include "ebonypin/platform/advice.h"
 #include "ebonypin/platform/job_front.h"
 #include "ebonypin/platform/keyed_store.h"
+#include "ebonypin/platform/machine_list.h"
 #include "ebonypin/platform/run_worker.h"
 
 namespace ebonypin::platform {
@@ -27,6 +28,7 @@
   std::function<std::unique_ptr<KeyedStore>(const std::string& url)> m_store;
   std::function<std::unique_ptr<FleetWorkerClient>(const std::string& url)> m_worker;
   std::function<std::unique_ptr<AdviceService>(const std::string& url)> m_advice;
+  std::function<std::unique_ptr<MachineList>(const std::string& url)> m_machines;
   /// Open listeners at "ip:port". They throw std::exception when the address is in use.
   std::function<std::unique_ptr<Listener>(const std::string& address, JobApiHandler handler)>
       m_job_api;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -167,7 +167,7 @@
   closedOccurrences @7 :List(UInt32);
 }
 
-struct MemberRecord { agent @0 :Text; rpcAddress @1 :Text; }
+struct MemberRecord { agent @0 :Text; rpcAddress @1 :Text; worker @2 :Text; }
 
 struct ImagePairsRecord { pairs @0 :List(ImagePair); }
 
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -389,10 +389,13 @@
 void Put(schema::fleet::MemberRecord::Builder out, const core::fleet::MemberRecord& in) {
   out.setAgent(in.m_agent.m_value);
   out.setRpcAddress(in.m_rpc_address);
+  out.setWorker(in.m_worker.m_value);
 }
 
 core::fleet::MemberRecord Get(const schema::fleet::MemberRecord::Reader in) {
-  return {.m_agent = {GetText(in.getAgent())}, .m_rpc_address = GetText(in.getRpcAddress())};
+  return {.m_agent = {GetText(in.getAgent())},
+          .m_rpc_address = GetText(in.getRpcAddress()),
+          .m_worker = {GetText(in.getWorker())}};
 }
 
 void Put(schema::fleet::ImagePairsRecord::Builder out, const core::fleet::ImagePairsRecord& in) {
