Expect of unmeasured pairs what the measured ones show

Change: an unmeasured pair is expected to be like the mean of the measured ones, starting from 0.8. A move has to gain four processors.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -104,7 +104,7 @@
   /// them change within seconds.
   Duration m_filling_room_interval = std::chrono::milliseconds{500};
   /// Least gain of room for filling tasks, in processors, for which a serving task is moved.
-  double m_min_room_gain = 3.0;
+  double m_min_room_gain = 4.0;
   /// Serving tasks per move in one tick, so that a small part of them is away at a time.
   std::size_t m_serving_tasks_per_move = 100;
   /// Time for which a serving task stays after its start.
--- a/packages/core/include/ebonypin/core/fleet/filling_room.h
+++ b/packages/core/include/ebonypin/core/fleet/filling_room.h
@@ -20,8 +20,10 @@
   double m_allowed_growth = 0.5;
   /// Share of a worker's processors that filling tasks would use if they disturbed nobody.
   double m_usual_load = 0.5;
-  /// Suitability of a pair of images that was never measured.
-  double m_unknown_suitability = 0.5;
+  /// Suitability assumed for a pair while no pair was measured. It counts as much as this number
+  /// of measured pairs.
+  double m_assumed_suitability = 0.8;
+  double m_assumed_pairs = 10.0;
 };
 
 /// Suitability of the filling images in demand for workers that run a serving image.
