Overlap appends while the store is slow

Cause: a change that missed an append waited for its answer and then for that of its own. Change: the open appends are a queue of the decision core. The store takes them in order; one that overtook is repeated after the older one, and a later success shows that a lost answer was one. An end without records waits for the open appends, so that no end is acknowledged before the record of an earlier one is stored.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -242,6 +242,7 @@
   std::int64_t m_serving_cpu_millis = 0;
   std::int64_t m_ends_born = 0;       ///< Incarnation of the worker that the next two refer to.
   std::uint64_t m_ends_seen = 0;      ///< Highest number of a reported end.
+  std::uint64_t m_ends_taken = 0;     ///< Ends up to this number were handed out by TakeWrites.
   std::uint64_t m_ends_recorded = 0;  ///< Ends up to this number are in the store.
   Time m_learned;                     ///< When the model was last updated from its figures.
   std::map<ImageName, double> m_filling_loads;  ///< Shares in use at that time, by filling image.
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -147,7 +147,7 @@
 void OnEnds(Coordinator& state, const Time now, Agent& agent, const AgentReport& report) {
   if (agent.m_ends_born != report.m_worker.m_born) {
     agent.m_ends_born = report.m_worker.m_born;
-    agent.m_ends_seen = agent.m_ends_recorded = 0;
+    agent.m_ends_seen = agent.m_ends_taken = agent.m_ends_recorded = 0;
   }
   for (const auto& end : report.m_ends) {
     OnEnd(state, now, agent, end);
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -50,7 +50,7 @@
   if (!state.m_unwritten_jobs.empty() || !state.m_unwritten_progress.empty()) return true;
   if (!state.m_unwritten_members.empty() || !state.m_removed_keys.empty()) return true;
   for (const auto& [id, agent] : state.m_agents) {
-    if (agent.m_ends_seen > agent.m_ends_recorded) return true;
+    if (agent.m_ends_seen > agent.m_ends_taken) return true;
   }
   return false;
 }
@@ -81,8 +81,9 @@
   if (state.m_unwritten_pairs) {
     batch.m_records.emplace_back(*std::exchange(state.m_unwritten_pairs, std::nullopt));
   }
-  for (const auto& [id, agent] : state.m_agents) {
-    if (agent.m_ends_seen <= agent.m_ends_recorded) continue;
+  for (auto& [id, agent] : state.m_agents) {
+    if (agent.m_ends_seen <= agent.m_ends_taken) continue;
+    agent.m_ends_taken = agent.m_ends_seen;
     batch.m_ends.push_back(
         {.m_agent = id, .m_born = agent.m_ends_born, .m_number = agent.m_ends_seen});
   }
--- /dev/null
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -0,0 +1,165 @@
+/// Appends of the coordinator's records, and the calls that wait for them.
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "boot_clock.h"
+#include "coordinator_service.h"
+#include "ebonypin/daemon/events.h"
+#include "ebonypin/wire/fleet_codec.h"
+
+namespace ebonypin::daemon {
+namespace {
+
+using core::fleet::AppendOutcome;
+using core::fleet::JobCallReply;
+using core::fleet::JobCallStatus;
+using core::fleet::JobKey;
+using core::fleet::MemberKey;
+using core::fleet::ProgressKey;
+using platform::AppendStatus;
+using namespace std::chrono_literals;
+
+/// Retry-After while the store does not take records. Callers wait about 3 s in all, so a longer
+/// one would leave them no second try.
+constexpr auto kStoreRetryAfter = 1s;
+
+platform::KeyedRecord ToRecord(const core::fleet::RecordChange& change) {
+  return std::visit(
+      [](const auto& record) -> platform::KeyedRecord {
+        using T = std::decay_t<decltype(record)>;
+        if constexpr (std::is_same_v<T, core::fleet::JobSpec>) {
+          return {.m_key = JobKey(record.m_id), .m_value = wire::Encode(record)};
+        } else if constexpr (std::is_same_v<T, core::fleet::JobProgress>) {
+          return {.m_key = ProgressKey(record.m_job), .m_value = wire::Encode(record)};
+        } else if constexpr (std::is_same_v<T, core::fleet::MemberRecord>) {
+          return {.m_key = MemberKey(record.m_agent), .m_value = wire::Encode(record)};
+        } else if constexpr (std::is_same_v<T, core::fleet::ImagePairsRecord>) {
+          return {.m_key = std::string{core::fleet::kImagePairsKey},
+                  .m_value = wire::Encode(record)};
+        } else {
+          return {.m_key = record.m_key};
+        }
+      },
+      change);
+}
+
+AppendOutcome OutcomeOf(const AppendStatus status) noexcept {
+  switch (status) {
+    case AppendStatus::kAppended:
+      return AppendOutcome::kAppended;
+    case AppendStatus::kNotAppended:
+      return AppendOutcome::kNotAppended;
+    case AppendStatus::kUnknown:
+      return AppendOutcome::kUnknown;
+    case AppendStatus::kOutOfSequence:
+      return AppendOutcome::kOutOfSequence;
+    case AppendStatus::kFenced:
+    case AppendStatus::kEndMismatch:
+      return AppendOutcome::kFenced;
+  }
+  return AppendOutcome::kUnknown;
+}
+
+}  // namespace
+
+JobCallReply CoordinatorService::StoreSilentRefusal() {
+  return {.m_status = JobCallStatus::kRefused,
+          .m_retry_after = kStoreRetryAfter,
+          .m_reason = "the store does not take records; retry later"};
+}
+
+void CoordinatorService::Flush() {
+  const auto now = BootNow();
+  if (const auto* const repeated = NextRepeat(m_appends, now)) SendAppend(*repeated);
+  if (!HasWrites(m_state)) return;
+  if (!MayBegin(m_appends, now)) {
+    const auto& options = m_appends.m_options;
+    m_events->At(Now() + (m_appends.m_open.empty() ? options.m_interval : options.m_overlap_after),
+                 [this] { ScheduleCycle(); });
+    return;
+  }
+  auto batch = TakeWrites(m_state, WallNow());
+  if (batch.m_records.empty()) {
+    if (TakeEmpty(m_appends, batch)) OnWritten(m_state, batch);
+    return;
+  }
+  SendAppend(Begin(m_appends, now, std::move(batch)));
+  ScheduleRefusals();
+}
+
+void CoordinatorService::SendAppend(const core::fleet::OpenAppend& append) {
+  std::vector<platform::KeyedRecord> records;
+  records.reserve(append.m_batch.m_records.size());
+  for (const auto& change : append.m_batch.m_records) records.push_back(ToRecord(change));
+  const auto sent = BootNow();
+  m_store.Append(m_options.m_jobs_topic, records, {.m_writer = Writer(append.m_sequence)},
+                 [this, events = m_events, sent, sequence = append.m_sequence,
+                  epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
+                   events->Post([this, sent, sequence, epoch, reply] {
+                     if (!IsActive() || epoch != m_leadership.m_epoch) return;
+                     OnAppended(sent, sequence, reply);
+                   });
+                 });
+}
+
+void CoordinatorService::OnAppended(const core::Time sent, const std::uint64_t sequence,
+                                    const platform::AppendReply& reply) {
+  const bool was_failing = m_appends.m_failing_since != core::Time{};
+  const auto result = OnOutcome(m_appends, BootNow(), sequence, OutcomeOf(reply.m_status));
+  if (result.m_superseded) return BecomeFollower("append failed: " + reply.m_reason);
+  if (result.m_failed) {
+    if (!was_failing) {
+      LogEvent(kLogUnavailable, {{"topic", m_options.m_jobs_topic}, {"reason", reply.m_reason}});
+    }
+    m_events->At(Now() + m_appends.m_options.m_retry_delay, [this] { ScheduleCycle(); });
+    return;
+  }
+  if (!result.m_written.empty()) {
+    if (was_failing) LogEvent(kLogAvailable, {{"topic", m_options.m_jobs_topic}});
+    m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
+  }
+  for (const auto& batch : result.m_written) {
+    OnWritten(m_state, batch);
+    for (const auto& member : batch.m_members) AnnounceTo(member.m_rpc_address);
+  }
+  ResumeWaiters();
+  ScheduleCycle();
+}
+
+void CoordinatorService::ScheduleRefusals() {
+  m_events->At(Now() + m_state.m_options.m_append_patience + 1ms,
+               [this, epoch = m_leadership.m_epoch] {
+                 if (IsActive() && epoch == m_leadership.m_epoch) RefuseUnwritten();
+               });
+}
+
+void CoordinatorService::RefuseUnwritten() {
+  if (!MustRefuseSubmissions(m_state, OldestBegan(m_appends), BootNow())) return;
+  const auto withdrawn = WithdrawUnwritten(m_state);
+  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+    if (withdrawn.count(waiter->m_call.m_job.m_id) == 0) {
+      ++waiter;
+      continue;
+    }
+    const bool submits = waiter->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
+    waiter->m_done(submits ? StoreSilentRefusal()
+                           : JobCallReply{.m_status = JobCallStatus::kNoSuchJob});
+    waiter = m_waiters.erase(waiter);
+  }
+  LogDecisions();
+}
+
+void CoordinatorService::ResumeWaiters() {
+  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+    auto reply = Resume(m_state, waiter->m_call);
+    if (!reply) {
+      ++waiter;
+      continue;
+    }
+    waiter->m_done(std::move(*reply));
+    waiter = m_waiters.erase(waiter);
+  }
+}
+
+}  // namespace ebonypin::daemon
--- a/packages/daemon/src/fleet/coordinator_office.cc
+++ b/packages/daemon/src/fleet/coordinator_office.cc
@@ -171,7 +171,7 @@
             return BecomeFollower("fence append failed: " + reply.m_reason);
           }
           m_leadership.m_confirmed = sent;
-          m_sequence = 0;
+          m_appends = {};
           m_state = core::fleet::Coordinator{.m_options = m_options.m_coordinator,
                                              .m_epoch = m_leadership.m_epoch,
                                              .m_rpc_address = m_options.m_rpc_address};
@@ -258,12 +258,11 @@
   LogEvent(kLeadershipEnded, {{"epoch", m_leadership.m_epoch}, {"reason", reason}});
   m_leadership.m_stage = LeadershipStage::kFollower;
   m_leadership.m_released = false;
-  m_batch_open = m_batch_in_flight = false;
+  m_appends = {};
   const auto unwritten = WithdrawUnwritten(m_state);
   m_state = {};
   m_orders_in_flight.clear();
   m_next_orders.clear();
-  m_append_began = m_appends_failing_since = {};
   for (auto& waiter : std::exchange(m_waiters, {})) {
     const bool sent = unwritten.count(waiter.m_call.m_job.m_id) == 0;
     waiter.m_done({.m_status = sent ? JobCallStatus::kUnknown : JobCallStatus::kNotCoordinator,
@@ -281,16 +280,16 @@
   m_known = {.m_epoch = epoch, .m_rpc_address = rpc_address};
 }
 
-platform::StoreWriter CoordinatorService::Writer() const {
-  return {.m_name = kWriterName, .m_epoch = m_leadership.m_epoch, .m_sequence = m_sequence};
+platform::StoreWriter CoordinatorService::Writer(const std::uint64_t sequence) const {
+  return {.m_name = kWriterName, .m_epoch = m_leadership.m_epoch, .m_sequence = sequence};
 }
 
 /// Asks the store whether a later epoch exists, unless a recent append or join has confirmed
 /// leadership.
 void CoordinatorService::ConfirmLeadership() {
   const auto sent = BootNow();
-  if (m_batch_open || sent - m_leadership.m_confirmed < kConfirmInterval) return;
-  m_store.Append(m_options.m_jobs_topic, {}, {.m_writer = Writer()},
+  if (!m_appends.m_open.empty() || sent - m_leadership.m_confirmed < kConfirmInterval) return;
+  m_store.Append(m_options.m_jobs_topic, {}, {.m_writer = Writer(m_appends.m_last_sequence)},
                  [this, events = m_events, sent,
                   epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
                    events->Post([this, sent, epoch, reply] {
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <utility>
-#include <variant>
 
 #include "boot_clock.h"
 #include "ebonypin/daemon/events.h"
-#include "ebonypin/wire/fleet_codec.h"
 #include "fleet_parts.h"
 
 namespace ebonypin::daemon {
@@ -14,11 +12,7 @@
 
 using core::fleet::JobCallReply;
 using core::fleet::JobCallStatus;
-using core::fleet::JobKey;
 using core::fleet::LeadershipStage;
-using core::fleet::MemberKey;
-using core::fleet::ProgressKey;
-using platform::AppendStatus;
 using namespace std::chrono_literals;
 
 /// Delay before a cycle, so that one cycle handles all events of a burst. It is small compared with
@@ -28,38 +22,10 @@
 /// reports and calls, however many workers and jobs a cycle has to examine.
 constexpr int kCyclePauseFactor = 2;
 constexpr core::Duration kMaxCyclePause = 50ms;
-/// Interval between two appends, so that the records of a burst share one append; each append costs
-/// 2 ms at the store.
-constexpr auto kAppendInterval = 12ms;
-constexpr auto kAppendRetryDelay = 100ms;
 constexpr auto kTickInterval = 250ms;
 constexpr auto kOrdersDeadline = 600ms;
 constexpr auto kOrdersRetryDelay = 120ms;
 constexpr std::size_t kMaxOrdersPerCall = 32;
-/// Retry-After while the store does not take records. Callers wait about 3 s in all, so a longer
-/// one would leave them no second try.
-constexpr auto kStoreRetryAfter = 1s;
-constexpr auto kStoreSilentReason = "the store does not take records; retry later";
-
-platform::KeyedRecord ToRecord(const core::fleet::RecordChange& change) {
-  return std::visit(
-      [](const auto& record) -> platform::KeyedRecord {
-        using T = std::decay_t<decltype(record)>;
-        if constexpr (std::is_same_v<T, core::fleet::JobSpec>) {
-          return {.m_key = JobKey(record.m_id), .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::JobProgress>) {
-          return {.m_key = ProgressKey(record.m_job), .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::MemberRecord>) {
-          return {.m_key = MemberKey(record.m_agent), .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::ImagePairsRecord>) {
-          return {.m_key = std::string{core::fleet::kImagePairsKey},
-                  .m_value = wire::Encode(record)};
-        } else {
-          return {.m_key = record.m_key};
-        }
-      },
-      change);
-}
 
 }  // namespace
 
@@ -96,11 +62,9 @@
   const auto now = BootNow();
   const bool is_new = call.m_kind == core::fleet::JobCallKind::kSubmit &&
                       m_state.m_jobs.count(call.m_job.m_id) == 0;
-  if (is_new && MustRefuseSubmissions(m_state, m_append_began, now)) {
+  if (is_new && MustRefuseSubmissions(m_state, OldestBegan(m_appends), now)) {
     ++m_state.m_counters.m_refused;
-    return done({.m_status = JobCallStatus::kRefused,
-                 .m_retry_after = kStoreRetryAfter,
-                 .m_reason = kStoreSilentReason});
+    return done(StoreSilentRefusal());
   }
   auto reply = OnCall(m_state, now, call);
   ScheduleCycle();
@@ -209,117 +173,6 @@
   }
 }
 
-void CoordinatorService::Flush() {
-  if (m_batch_open) {
-    if (!m_batch_in_flight && BootNow() >= m_next_append) SendBatch();
-    return;
-  }
-  if (!HasWrites(m_state)) return;
-  const auto now = BootNow();
-  if (now < m_next_append) {
-    m_events->At(Now() + (m_next_append - now), [this] { ScheduleCycle(); });
-    return;
-  }
-  m_batch = TakeWrites(m_state, WallNow());
-  if (m_batch.m_records.empty()) {
-    OnWritten(m_state, m_batch);
-    return;
-  }
-  m_batch_records.clear();
-  for (const auto& change : m_batch.m_records) m_batch_records.push_back(ToRecord(change));
-  m_batch_open = true;
-  m_append_began = now;
-  ScheduleRefusals();
-  ++m_sequence;
-  SendBatch();
-}
-
-void CoordinatorService::SendBatch() {
-  m_batch_in_flight = true;
-  const auto sent = BootNow();
-  m_store.Append(m_options.m_jobs_topic, m_batch_records, {.m_writer = Writer()},
-                 [this, events = m_events, sent,
-                  epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
-                   events->Post([this, sent, epoch, reply] {
-                     if (IsActive() && epoch == m_leadership.m_epoch) OnAppended(sent, reply);
-                   });
-                 });
-}
-
-void CoordinatorService::OnAppended(const core::Time sent, const platform::AppendReply& reply) {
-  m_batch_in_flight = false;
-  const auto now = BootNow();
-  switch (reply.m_status) {
-    case AppendStatus::kAppended:
-      if (m_appends_failing_since != core::Time{}) {
-        LogEvent(kLogAvailable, {{"topic", m_options.m_jobs_topic}});
-      }
-      m_appends_failing_since = {};
-      m_append_began = {};
-      m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
-      m_batch_open = false;
-      m_next_append = sent + kAppendInterval;
-      OnWritten(m_state, m_batch);
-      for (const auto& member : m_batch.m_members) {
-        AnnounceTo(member.m_rpc_address);
-      }
-      ResumeWaiters();
-      return ScheduleCycle();
-    case AppendStatus::kFenced:
-    case AppendStatus::kOutOfSequence:
-    case AppendStatus::kEndMismatch:
-      return BecomeFollower("append failed: " + reply.m_reason);
-    case AppendStatus::kNotAppended:
-    case AppendStatus::kUnknown:
-      // Retried under the same sequence number, so that the batch is appended only once.
-      if (m_appends_failing_since == core::Time{}) {
-        m_appends_failing_since = now;
-        LogEvent(kLogUnavailable, {{"topic", m_options.m_jobs_topic}, {"reason", reply.m_reason}});
-      }
-      m_next_append = now + kAppendRetryDelay;
-      m_events->At(Now() + kAppendRetryDelay, [this] { ScheduleCycle(); });
-      return;
-  }
-}
-
-void CoordinatorService::ScheduleRefusals() {
-  m_events->At(Now() + m_state.m_options.m_append_patience + kCycleDelay,
-               [this, epoch = m_leadership.m_epoch, sequence = m_sequence + 1] {
-                 const bool same = epoch == m_leadership.m_epoch && sequence == m_sequence;
-                 if (IsActive() && same) RefuseUnwritten();
-               });
-}
-
-void CoordinatorService::RefuseUnwritten() {
-  if (!MustRefuseSubmissions(m_state, m_append_began, BootNow())) return;
-  const auto withdrawn = WithdrawUnwritten(m_state);
-  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
-    if (withdrawn.count(waiter->m_call.m_job.m_id) == 0) {
-      ++waiter;
-      continue;
-    }
-    const bool submits = waiter->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
-    waiter->m_done(submits ? JobCallReply{.m_status = JobCallStatus::kRefused,
-                                          .m_retry_after = kStoreRetryAfter,
-                                          .m_reason = kStoreSilentReason}
-                           : JobCallReply{.m_status = JobCallStatus::kNoSuchJob});
-    waiter = m_waiters.erase(waiter);
-  }
-  LogDecisions();
-}
-
-void CoordinatorService::ResumeWaiters() {
-  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
-    auto reply = Resume(m_state, waiter->m_call);
-    if (!reply) {
-      ++waiter;
-      continue;
-    }
-    waiter->m_done(std::move(*reply));
-    waiter = m_waiters.erase(waiter);
-  }
-}
-
 void CoordinatorService::LogDecisions() {
   for (const auto& decision : std::exchange(m_state.m_decisions, {})) {
     LogEvent(decision.m_failure ? kRunFailure : kRunDecision, {{"what", decision.m_what},
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "../event_thread.h"
+#include "ebonypin/core/fleet/append_queue.h"
 #include "ebonypin/core/fleet/candidacy.h"
 #include "ebonypin/core/fleet/coordinator.h"
 #include "ebonypin/core/fleet/evacuation.h"
@@ -101,7 +102,7 @@
   void LeaveGroup();
   void ConfirmLeadership();
   /// Returns the writer identity of the next append. The store refuses appends of earlier epochs.
-  [[nodiscard]] platform::StoreWriter Writer() const;
+  [[nodiscard]] platform::StoreWriter Writer(std::uint64_t sequence) const;
   void Claim();
   void Append(const core::fleet::CoordinatorRecord& record, std::uint64_t at_end,
               const core::fleet::CoordinatorRecord& previous);
@@ -121,10 +122,11 @@
   void SendOrders(core::fleet::Agent& agent);
   void RequestAdvice();
   void Flush();
-  void SendBatch();
-  void OnAppended(core::Time sent, const platform::AppendReply& reply);
+  void SendAppend(const core::fleet::OpenAppend& append);
+  void OnAppended(core::Time sent, std::uint64_t sequence, const platform::AppendReply& reply);
   /// Arranges for RefuseUnwritten to be called when the append that begins now is overdue.
   void ScheduleRefusals();
+  [[nodiscard]] static core::fleet::JobCallReply StoreSilentRefusal();
   /// Refuses the submissions that wait for an overdue append and are not part of it.
   void RefuseUnwritten();
   void ResumeWaiters();
@@ -152,15 +154,7 @@
   std::list<Waiter> m_waiters;
   std::set<core::AgentId> m_orders_in_flight;         ///< Agents with an orders call in flight.
   std::map<core::AgentId, core::Time> m_next_orders;  ///< Earliest retry of a failed orders call.
-  // Batch that is being appended or has to be retried.
-  bool m_batch_open = false;
-  bool m_batch_in_flight = false;
-  core::fleet::WriteBatch m_batch;
-  std::vector<platform::KeyedRecord> m_batch_records;
-  std::uint64_t m_sequence = 0;
-  core::Time m_next_append;
-  core::Time m_append_began;           ///< Of the open batch; clock epoch: there is none.
-  core::Time m_appends_failing_since;  ///< Clock epoch while appends succeed.
+  core::fleet::AppendQueue m_appends;
 };
 
 }  // namespace ebonypin::daemon
