Let a stopping coordinator go on until its successor claims

Cause: an entry that stopped as planned gave up the leadership at once. Change: it only leaves the group, and stays the coordinator until it learns of the next epoch or its append is fenced. A coordinator without a successor serves until its process ends. Submissions are refused after 0.7 s without a successful append, as an append of a slow store took up to 0.66 s.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -46,7 +46,7 @@
   double m_headroom = 0.08;
   /// Time for which an append may be without success before submissions are refused. Longer than
   /// an append takes in a store that is slow but works.
-  Duration m_append_patience = std::chrono::milliseconds{600};
+  Duration m_append_patience = std::chrono::milliseconds{700};
   /// Delay before a task is placed again after its run was refused or lost.
   Duration m_refusal_delay = std::chrono::milliseconds{150};
   /// Limit on unconfirmed orders to one agent; further starts wait.
--- a/packages/daemon/src/fleet/coordinator_office.cc
+++ b/packages/daemon/src/fleet/coordinator_office.cc
@@ -42,7 +42,7 @@
 
 void CoordinatorService::Leave() {
   m_leaving = true;
-  BecomeFollower("planned stop");
+  if (!IsActive()) BecomeFollower("planned stop");
   LeaveGroup();
 }
 
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -57,7 +57,8 @@
 
   void Start();
 
-  /// Gives up leadership and the group membership, for a planned stop.
+  /// Gives up the group membership, for a planned stop. An active coordinator goes on until its
+  /// successor has claimed the next epoch, which takes seconds while the store is slow.
   void Leave();
 
   [[nodiscard]] bool IsActive() const noexcept;
