Bound the search for moves of serving tasks

Cause: every group of serving tasks was compared with every worker, which grows with the square of the fleet. Change: one tick compares 256 workers at most, each search beginning where the last one ended, and searches moves for the 24 groups whose leaving gains most. Images and room of a worker are described once a tick.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -107,6 +107,10 @@
   double m_min_room_gain = 4.0;
   /// Serving tasks per move in one tick, so that a small part of them is away at a time.
   std::size_t m_serving_tasks_per_move = 100;
+  /// Limits on the workers that are compared in one tick, and on the groups of tasks there for
+  /// which a move is searched, so that the cost does not grow with the fleet.
+  std::size_t m_max_move_workers = 256;
+  std::size_t m_max_move_sources = 24;
   /// Time for which a serving task stays after its start.
   Duration m_min_serving_stay = std::chrono::seconds{5};
   /// Least time between two lists of workers that show a worker as ended. The list may lag behind a
@@ -310,6 +314,7 @@
   std::map<AgentId, Agent> m_agents;
   std::uint64_t m_workers_added = 0;  ///< Number of times that a worker became ready for orders.
   AgentId m_next_compared;            ///< Where the next search for a filling task begins.
+  AgentId m_next_moved;               ///< Where the next search for moves of serving tasks begins.
   std::map<AgentId, SilentMember> m_silent_members;
   Time m_silent_until;  ///< All grants of earlier epochs have ended by this time.
   std::set<std::string> m_evacuated_domains;  ///< See SetEvacuations.
--- a/packages/core/src/fleet/serving_moves.cc
+++ b/packages/core/src/fleet/serving_moves.cc
@@ -1,3 +1,9 @@
+/// Moves of serving tasks, one at a time or two against each other, that leave more room for
+/// filling tasks.
+///
+/// Answers the load at which all workers serve and filling work waits. Which images disturb each
+/// other is learned while they run, so the first placement of serving tasks mixes images that leave
+/// no filling image undisturbed.
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -11,8 +17,6 @@
 
 /// Serving tasks of one image on one worker.
 struct ImageTasks {
-  const Agent* m_agent = nullptr;
-  ImageName m_image;
   std::vector<TaskRef> m_tasks;
   std::int64_t m_cpu_millis = 0;
   /// Room for filling tasks, in processors, that the worker gains when all of them leave, for each
@@ -20,37 +24,46 @@
   double m_gain = 0.0;
 };
 
+/// Serving tasks of one worker.
+struct ServingMix {
+  const Agent* m_agent = nullptr;
+  std::map<ImageName, ImageTasks> m_images;
+  std::set<ImageName> m_names;
+  std::int64_t m_cpu_millis = 0;
+  double m_room = 0.0;  ///< For filling tasks, in processors.
+};
+
+/// Tasks of one image on one of the workers that are compared.
+struct Source {
+  const ServingMix* m_mix = nullptr;
+  const ImageName* m_image = nullptr;
+  const ImageTasks* m_tasks = nullptr;
+};
+
 /// Stop of one task, or of two tasks that take each other's place.
 struct Move {
   std::vector<TaskRef> m_tasks;
   double m_gain = 0.0;  ///< Room for filling tasks, in processors, for each task.
 };
 
-std::vector<ImageTasks> ServingImages(const Coordinator& state, const Agent& agent) {
-  std::map<ImageName, ImageTasks> images;
-  std::set<ImageName> names;
-  std::int64_t cpu_millis = 0;
+ServingMix DescribeMix(const Coordinator& state, const Agent& agent) {
+  ServingMix mix{.m_agent = &agent};
   for (const auto& [ref, placed] : agent.m_placed_runs) {
     if (!placed.m_serving || placed.m_stopping) continue;
-    auto& image = images[placed.m_image];
-    image.m_agent = &agent;
-    image.m_image = placed.m_image;
+    auto& image = mix.m_images[placed.m_image];
     image.m_tasks.push_back(ref);
     image.m_cpu_millis += placed.m_size.m_cpu_millis;
-    names.insert(placed.m_image);
-    cpu_millis += placed.m_size.m_cpu_millis;
+    mix.m_names.insert(placed.m_image);
+    mix.m_cpu_millis += placed.m_size.m_cpu_millis;
   }
-  std::vector<ImageTasks> listed;
-  if (images.empty()) return listed;
-  const double room = RoomBeside(state, agent, names, cpu_millis);
-  for (auto& [name, image] : images) {
-    auto others = names;
+  mix.m_room = RoomBeside(state, agent, mix.m_names, mix.m_cpu_millis);
+  for (auto& [name, image] : mix.m_images) {
+    auto others = mix.m_names;
     others.erase(name);
-    const double without = RoomBeside(state, agent, others, cpu_millis - image.m_cpu_millis);
-    image.m_gain = (without - room) / static_cast<double>(image.m_tasks.size());
-    listed.push_back(std::move(image));
+    const double without = RoomBeside(state, agent, others, mix.m_cpu_millis - image.m_cpu_millis);
+    image.m_gain = (without - mix.m_room) / static_cast<double>(image.m_tasks.size());
   }
-  return listed;
+  return mix;
 }
 
 TaskNeed NeedOf(const Coordinator& state, const TaskRef& ref) {
@@ -83,13 +96,17 @@
 
 /// Returns the least room that another worker with capacity would lose by the task.
 std::optional<double> LeastRoomLost(const Coordinator& state, const Time now, const TaskRef& ref,
-                                    const Agent& from) {
+                                    const Source& from, const std::vector<ServingMix>& mixes) {
   const TaskNeed need = NeedOf(state, ref);
   std::optional<double> least;
-  for (const auto& [id, agent] : state.m_agents) {
-    if (id == from.m_id || IsPaused(agent.m_health, now)) continue;
+  for (const auto& mix : mixes) {
+    const Agent& agent = *mix.m_agent;
+    if (&mix == from.m_mix || IsPaused(agent.m_health, now)) continue;
     if (!IsEligible(need, agent) || !HasRoom(need, agent)) continue;
-    const double lost = RoomLost(need, agent);
+    auto names = mix.m_names;
+    names.insert(*from.m_image);
+    const auto cpu_millis = mix.m_cpu_millis + need.m_spec.m_size.m_cpu_millis;
+    const double lost = mix.m_room - RoomBeside(state, agent, names, cpu_millis);
     if (!least || lost < *least) least = lost;
   }
   return least;
@@ -107,37 +124,34 @@
 
 /// Finds the task whose exchange with `ref` gains most room. Its worker runs the image of `ref`,
 /// and the worker of `ref` runs its image, so that neither gets a further image.
-Move BestExchange(const Coordinator& state, const Time now, const TaskRef& ref,
-                  const ImageTasks& from, const std::vector<ImageTasks>& all) {
+Move BestExchange(const Coordinator& state, const Time now, const TaskRef& ref, const Source& from,
+                  const std::vector<ServingMix>& mixes) {
   Move best;
-  std::set<const Agent*> hosts;  // Of the image.
-  std::set<ImageName> images;    // On the worker.
-  for (const auto& other : all) {
-    if (other.m_agent == from.m_agent) images.insert(other.m_image);
-    if (other.m_image == from.m_image && other.m_agent != from.m_agent) hosts.insert(other.m_agent);
-  }
-  for (const auto& other : all) {
-    if (other.m_image == from.m_image || hosts.count(other.m_agent) == 0) continue;
-    const double gain = (from.m_gain + other.m_gain) / 2;
-    if (images.count(other.m_image) == 0 || gain <= best.m_gain) continue;
-    const auto* const partner = FindMovable(state, now, other);
-    if (partner == nullptr || partner->m_job == ref.m_job) continue;
-    if (!FitsInPlaceOf(state, ref, *other.m_agent, *partner)) continue;
-    if (!FitsInPlaceOf(state, *partner, *from.m_agent, ref)) continue;
-    best = {.m_tasks = {ref, *partner}, .m_gain = gain};
+  for (const auto& mix : mixes) {
+    if (&mix == from.m_mix || mix.m_names.count(*from.m_image) == 0) continue;
+    for (const auto& [name, image] : mix.m_images) {
+      const double gain = (from.m_tasks->m_gain + image.m_gain) / 2;
+      if (name == *from.m_image || from.m_mix->m_names.count(name) == 0) continue;
+      if (gain <= best.m_gain) continue;
+      const auto* const partner = FindMovable(state, now, image);
+      if (partner == nullptr || partner->m_job == ref.m_job) continue;
+      if (!FitsInPlaceOf(state, ref, *mix.m_agent, *partner)) continue;
+      if (!FitsInPlaceOf(state, *partner, *from.m_mix->m_agent, ref)) continue;
+      best = {.m_tasks = {ref, *partner}, .m_gain = gain};
+    }
   }
   return best;
 }
 
-/// Returns the best move that begins with one of `tasks`.
-Move BestMove(const Coordinator& state, const Time now, const ImageTasks& tasks,
-              const std::vector<ImageTasks>& all) {
-  const auto* const ref = FindMovable(state, now, tasks);
+/// Returns the best move that begins with a task of `from`.
+Move BestMove(const Coordinator& state, const Time now, const Source& from,
+              const std::vector<ServingMix>& mixes) {
+  const auto* const ref = FindMovable(state, now, *from.m_tasks);
   if (ref == nullptr) return {};
-  Move best = BestExchange(state, now, *ref, tasks, all);
-  const auto lost = LeastRoomLost(state, now, *ref, *tasks.m_agent);
-  if (lost && tasks.m_gain - *lost > best.m_gain) {
-    best = {.m_tasks = {*ref}, .m_gain = tasks.m_gain - *lost};
+  Move best = BestExchange(state, now, *ref, from, mixes);
+  const auto lost = LeastRoomLost(state, now, *ref, from, mixes);
+  if (lost && from.m_tasks->m_gain - *lost > best.m_gain) {
+    best = {.m_tasks = {*ref}, .m_gain = from.m_tasks->m_gain - *lost};
   }
   return best;
 }
@@ -154,6 +168,39 @@
   });
 }
 
+/// Describes the workers to compare. Their number is limited, and the next call begins where this
+/// one ended.
+std::vector<ServingMix> NextMixes(Coordinator& state) {
+  std::vector<ServingMix> mixes;
+  auto next = state.m_agents.lower_bound(state.m_next_moved);
+  const auto count = std::min(state.m_agents.size(), state.m_options.m_max_move_workers);
+  mixes.reserve(count);
+  for (std::size_t i = 0; i < count; ++i, ++next) {
+    if (next == state.m_agents.end()) next = state.m_agents.begin();
+    if (next->second.m_session != 0) mixes.push_back(DescribeMix(state, next->second));
+  }
+  state.m_next_moved = next != state.m_agents.end() ? next->first : AgentId{};
+  return mixes;
+}
+
+/// Returns the tasks whose worker gains most by their leaving, best first.
+std::vector<Source> BestSources(const Coordinator& state, const std::vector<ServingMix>& mixes) {
+  std::vector<Source> sources;
+  for (const auto& mix : mixes) {
+    for (const auto& [name, image] : mix.m_images) {
+      if (image.m_gain < state.m_options.m_min_room_gain) continue;
+      sources.push_back({.m_mix = &mix, .m_image = &name, .m_tasks = &image});
+    }
+  }
+  std::stable_sort(sources.begin(), sources.end(), [](const Source& a, const Source& b) {
+    return a.m_tasks->m_gain > b.m_tasks->m_gain;
+  });
+  if (sources.size() > state.m_options.m_max_move_sources) {
+    sources.resize(state.m_options.m_max_move_sources);
+  }
+  return sources;
+}
+
 }  // namespace
 
 void RefreshFillingRoom(Coordinator& state, const Time now) {
@@ -173,24 +220,18 @@
 }
 
 void MoveServingTasks(Coordinator& state, const Time now) {
-  if (!FillingWorkWaits(state)) return;
+  if (state.m_agents.empty() || !FillingWorkWaits(state)) return;
   RefreshFillingRoom(state, now);
-  std::vector<ImageTasks> all;
-  std::size_t serving = 0;
-  for (const auto& [id, agent] : state.m_agents) {
-    if (agent.m_session == 0) continue;
-    serving += agent.m_serving;
-    auto images = ServingImages(state, agent);
-    std::move(images.begin(), images.end(), std::back_inserter(all));
-  }
+  const auto mixes = NextMixes(state);
   std::vector<Move> moves;
-  for (const auto& tasks : all) {
-    if (tasks.m_gain < state.m_options.m_min_room_gain) continue;
-    auto move = BestMove(state, now, tasks, all);
+  for (const auto& source : BestSources(state, mixes)) {
+    auto move = BestMove(state, now, source, mixes);
     if (move.m_gain >= state.m_options.m_min_room_gain) moves.push_back(std::move(move));
   }
-  std::sort(moves.begin(), moves.end(),
-            [](const Move& a, const Move& b) { return a.m_gain > b.m_gain; });
+  std::stable_sort(moves.begin(), moves.end(),
+                   [](const Move& a, const Move& b) { return a.m_gain > b.m_gain; });
+  std::size_t serving = 0;
+  for (const auto& mix : mixes) serving += mix.m_agent->m_serving;
   auto left = 1 + serving / state.m_options.m_serving_tasks_per_move;
   for (const auto& move : moves) {
     if (left == 0) return;
