Order waiting steps by the operators' priority before lateness

Cause: whether a job can still meet its objective is judged by the declared run times. On the shifted deployment those of proof-preview are far off (a task of 0.62 s on average declared as 0.05 s), so urgent jobs that looked late came behind less urgent ones. Change: priority comes first; jobs that miss their objective in any case come last within their priority.

--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -93,8 +93,8 @@
 }
 
 bool ComesBefore(const ReadyStep& a, const ReadyStep& b) {
-  if (a.m_late != b.m_late) return b.m_late;
   if (a.m_priority != b.m_priority) return a.m_priority < b.m_priority;
+  if (a.m_late != b.m_late) return b.m_late;
   return a.m_latest_start < b.m_latest_start;
 }
 
