--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -41,6 +41,15 @@
 /// Stops every run of a job that was cancelled or has failed.
 void StopJob(Coordinator& state, Job& job, const std::string& reason);
 
+/// Returns the processors, in thousandths, that the listed filling tasks leave unused.
+[[nodiscard]] std::int64_t IdleFillingCpu(Coordinator& state, Time now, const Agent& agent,
+                                          const AgentReport& report);
+
+/// Updates the interference model from the figures of a worker, and returns the estimates of the
+/// pairs of images that run there.
+[[nodiscard]] std::vector<ImagePair> Learn(Coordinator& state, Time now, Agent& agent,
+                                           const AgentReport& report);
+
 /// Stops serving tasks that take much room for filling tasks where they run and little elsewhere,
 /// so that they are placed again.
 void MoveServingTasks(Coordinator& state, Time now);
--- /dev/null
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -0,0 +1,154 @@
+/// Periodic work of the coordinator: expired grants, runs that have to leave their worker, and
+/// closed jobs.
+#include <algorithm>
+#include <utility>
+
+#include "coordinator_internal.h"
+#include "ebonypin/core/fleet/worker_choice.h"
+
+namespace ebonypin::core::fleet {
+namespace {
+
+void DropMember(Coordinator& state, const AgentId& agent) {
+  state.m_removed_keys.push_back(MemberKey(agent));
+}
+
+void RemoveSilentMember(Coordinator& state, const AgentId& member, std::string reason) {
+  DropMember(state, member);
+  auto& agent = state.m_agents[member];
+  agent.m_recorded = agent.m_record_asked = false;
+  LogFailure(state, "member removed", {}, 0, member, std::move(reason));
+}
+
+void EndGrant(Coordinator& state, const Time now, Agent& agent) {
+  agent.m_session = 0;
+  agent.m_orders.clear();
+  DropStrays(state, agent);
+  std::vector<TaskRef> placed;
+  for (const auto& [ref, run] : agent.m_placed_runs) placed.push_back(ref);
+  for (const auto& ref : placed) {
+    if (Task* const task = FindTask(state, ref)) OnLost(state, now, ref, *task, "grant ended");
+  }
+  state.m_unwritten_members.erase(agent.m_id);
+  if (agent.m_recorded) DropMember(state, agent.m_id);
+  agent.m_recorded = agent.m_record_asked = false;
+}
+
+/// Stops a run that makes no progress, so that its task is placed elsewhere.
+void CheckStall(Coordinator& state, const Time now, const TaskRef& ref, Task& task) {
+  const Job& job = state.m_jobs.at(ref.m_job);
+  const auto& spec = job.m_spec.m_steps[ref.m_step];
+  if (task.m_stopping) return;
+  if (spec.m_long_running && task.m_percent >= 100) return;
+  constexpr std::uint32_t kMaxDoublings = 6;
+  const auto limit = spec.m_fills ? state.m_options.m_filling_stall_limit
+                                  : std::max(state.m_options.m_stall_limit, spec.m_estimate);
+  if (now - task.m_progressed < limit * (1U << std::min(task.m_stalls, kMaxDoublings))) return;
+  ++task.m_stalls;
+  OnStall(state.m_agents.at(task.m_agent).m_health, now, state.m_options.m_health);
+  task.m_failed_on.push_back(task.m_agent);
+  OrderStop(state, ref, task, "no progress at " + std::to_string(task.m_percent) + " %");
+}
+
+/// Stops a run on a draining worker that would not end before the worker leaves, if it loses no
+/// progress by moving.
+void CheckDrain(Coordinator& state, const Agent& agent, const TaskRef& ref, Task& task) {
+  if (!agent.m_worker.m_draining || task.m_stopping) return;
+  const auto& spec = state.m_jobs.at(ref.m_job).m_spec.m_steps[ref.m_step];
+  if (!spec.m_long_running && !spec.m_checkpointing) return;
+  const Duration left = spec.m_estimate * (100 - std::min(task.m_percent, 100U)) / 100;
+  if (!spec.m_long_running && left < agent.m_worker.m_remaining) return;
+  OrderStop(state, ref, task, "its worker leaves");
+}
+
+/// Stops a slow filling task if a worker that would give it a larger share has room.
+void CheckPlacement(Coordinator& state, const Time now, const Agent& agent, const TaskRef& ref,
+                    Task& task) {
+  if (task.m_stopping || task.m_slow_since == Time{}) return;
+  const auto& options = state.m_options;
+  if (now - std::max(task.m_slow_since, task.m_placed) < options.m_move_after) return;
+  if (now - task.m_placement_checked < options.m_placement_check_interval) return;
+  task.m_placement_checked = now;
+  const Job& job = state.m_jobs.at(ref.m_job);
+  const StepSpec& spec = job.m_spec.m_steps[ref.m_step];
+  if (!spec.m_checkpointing && task.m_percent > options.m_movable_percent) return;
+  const TaskNeed need{.m_state = state,
+                      .m_job = job,
+                      .m_spec = spec,
+                      .m_step = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step],
+                      .m_ref = ref,
+                      .m_task = task};
+  if (!HasBetterWorker(state, need, agent, now)) return;
+  OrderStop(state, ref, task, "slow here, and a better place is free");
+}
+
+void DropClosedJobs(Coordinator& state, const WallMillis wall) {
+  const auto keep =
+      std::chrono::duration_cast<std::chrono::milliseconds>(state.m_options.m_closed_retention)
+          .count();
+  for (auto job = state.m_jobs.begin(); job != state.m_jobs.end();) {
+    const bool old = job->second.m_closed && job->second.m_closed_at > 0 &&
+                     job->second.m_closed_at + keep < wall;
+    if (!old) {
+      ++job;
+      continue;
+    }
+    state.m_removed_keys.push_back(ProgressKey(job->first));
+    state.m_removed_keys.push_back(JobKey(job->first));
+    job = state.m_jobs.erase(job);
+  }
+}
+
+}  // namespace
+
+void OnLiveWorkers(Coordinator& state, const Time asked, const std::set<WorkerId>& workers) {
+  for (auto entry = state.m_silent_members.begin(); entry != state.m_silent_members.end();) {
+    auto& [id, member] = *entry;
+    const bool ended = !member.m_worker.IsEmpty() && workers.count(member.m_worker) == 0;
+    if (!ended) {
+      member.m_unlisted_since = {};
+    } else if (member.m_unlisted_since == Time{}) {
+      member.m_unlisted_since = asked;
+    }
+    if (!ended || asked - member.m_unlisted_since < state.m_options.m_unlisted_time) {
+      ++entry;
+      continue;
+    }
+    RemoveSilentMember(state, id, "the platform does not list its worker any more");
+    entry = state.m_silent_members.erase(entry);
+  }
+}
+
+void Tick(Coordinator& state, const Time now, const WallMillis wall) {
+  const Duration limit = state.m_options.m_grant + state.m_options.m_lapse_slack;
+  for (auto& [id, agent] : state.m_agents) {
+    if (agent.m_session == 0) continue;
+    if (now - agent.m_granted > limit) {
+      EndGrant(state, now, agent);
+      continue;
+    }
+    // A run that is ordered to stop stays placed until its end is reported.
+    for (const auto& [ref, run] : agent.m_placed_runs) {
+      Task* const task = FindTask(state, ref);
+      if (task == nullptr) continue;
+      CheckStall(state, now, ref, *task);
+      CheckDrain(state, agent, ref, *task);
+      CheckPlacement(state, now, agent, ref, *task);
+    }
+  }
+  if (!state.m_silent_members.empty() && now >= state.m_silent_until) {
+    for (const auto& [id, member] : state.m_silent_members) {
+      RemoveSilentMember(state, id, "silent since the coordinator changed");
+    }
+    state.m_silent_members.clear();
+  }
+  MoveServingTasks(state, now);
+  DropClosedJobs(state, wall);
+  if (state.m_pairs_changed && now - state.m_pairs_written >= state.m_options.m_pairs_interval) {
+    state.m_pairs_changed = false;
+    state.m_pairs_written = now;
+    state.m_unwritten_pairs = {.m_pairs = TakeRecent(state.m_pairs, now)};
+  }
+}
+
+}  // namespace ebonypin::core::fleet
