Explain the measure of room and keep the order of functions

Cause: read as a newcomer, the square root in RoomBeside and the changed counts in comments had no explanation. Change: comments, and one function back in its place. No behaviour changes.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -244,7 +244,7 @@
   std::vector<TaskRef> m_strays;
   std::size_t m_serving = 0;  ///< Number of serving tasks placed there.
   std::int64_t m_serving_cpu_millis = 0;
-  std::int64_t m_ends_born = 0;       ///< Incarnation of the worker that the next two refer to.
+  std::int64_t m_ends_born = 0;       ///< Incarnation of the worker that the next three refer to.
   std::uint64_t m_ends_seen = 0;      ///< Highest number of a reported end.
   std::uint64_t m_ends_taken = 0;     ///< Ends up to this number were handed out by TakeWrites.
   std::uint64_t m_ends_recorded = 0;  ///< Ends up to this number are in the store.
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -3,7 +3,8 @@
 /// At peak load the least committed worker starts urgent tasks soonest. Filling tasks disturb
 /// serving tasks on the same worker, so they prefer workers without serving tasks and with the most
 /// unused processor time. Tasks that reserve processors are packed onto the workers that already
-/// run serving tasks, so that the other workers stay free for filling tasks.
+/// run serving tasks, so that the other workers stay free for filling tasks. Among these, serving
+/// tasks go where the images that run there leave filling tasks most room; see filling_room.h.
 #pragma once
 
 #include <cstdint>
@@ -27,8 +28,8 @@
 /// Returns `cpu_millis` as a share of the worker's processors.
 [[nodiscard]] double ShareOf(const Agent& agent, std::int64_t cpu_millis) noexcept;
 
-/// Returns the room for filling tasks, in processors, on a worker whose serving tasks are of the
-/// images in `serving` and have `serving_cpu_millis` reserved.
+/// Returns a measure, in processors, of the room for filling tasks on a worker whose serving tasks
+/// are of the images in `serving` and have `serving_cpu_millis` reserved.
 [[nodiscard]] double RoomBeside(const Coordinator& state, const Agent& agent,
                                 const std::set<ImageName>& serving,
                                 std::int64_t serving_cpu_millis);
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -41,6 +41,10 @@
   return ShareOf(agent, agent.m_used.m_cpu_millis);
 }
 
+double ServingShare(const Agent& agent) noexcept {
+  return ShareOf(agent, agent.m_serving_cpu_millis);
+}
+
 /// Returns the rack of the first placed task of the step; empty when no task is placed.
 std::string RackOfStep(const TaskNeed& need) {
   for (const auto& task : need.m_step.m_tasks) {
@@ -64,10 +68,6 @@
   return worst;
 }
 
-double ServingShare(const Agent& agent) noexcept {
-  return ShareOf(agent, agent.m_serving_cpu_millis);
-}
-
 bool ServesOtherImages(const Agent& agent, const ImageName& image) noexcept {
   return std::any_of(agent.m_placed_runs.begin(), agent.m_placed_runs.end(),
                      [&](const auto& placed) {
@@ -125,6 +125,8 @@
                   const std::int64_t serving_cpu_millis) {
   const double reserved = state.m_options.m_serving_use * static_cast<double>(serving_cpu_millis);
   const double unused = static_cast<double>(agent.m_worker.m_capacity.m_cpu_millis) - reserved;
+  // With the part itself a worker of three images would gain nothing by the leaving of one, because
+  // the other two leave hardly more room. With its root each image counts about alike.
   return unused / 1000.0 * std::sqrt(UsablePart(state.m_filling_room, serving));
 }
 
