--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -202,8 +202,10 @@
   for (std::size_t i = 0; i < entries; ++i) {
     WaitUntil([&] {
       const auto status = Call(i, "GET", "/v1/status");
-      return status.m_status == 200 && status.m_body.at("entries").size() == entries &&
-             status.m_body.at("log").at("jobs").at("caught_up").as_bool();
+      if (status.m_status != 200 || status.m_body.at("entries").size() != entries) return false;
+      // An entry refuses changes of a topic that it has not read yet.
+      const auto& log = status.m_body.at("log");
+      return log.at("jobs").at("caught_up").as_bool() && log.at("config").at("caught_up").as_bool();
     });
   }
 }
