Log the calls that are open when an entry stops and the answers that are not sent

Cause: E103 does not say how many calls were in progress at the drain limit, and a reply that cannot be written leaves no line, so the log cannot tell a call that nobody answered from an answer that was lost. Change: E615 with the number of open calls, E616 for an answer that was not written, and the metric calls_in_progress. No decision changes.

--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -104,6 +104,9 @@
     // The listener for callers is closed last. Once it is closed, the HTTP library answers 404 on
     // open connections, which callers take for "no such queue".
     m_stopped = true;
+    if (const auto open = m_in_progress.load(); open > 0) {
+      LogEvent(kCallsLeftOpen, {{"calls", open}});
+    }
     m_metrics_server = nullptr;
     m_readiness = nullptr;
     m_events->Stop();
@@ -172,6 +175,7 @@
     const auto& counters = state.m_counters;
     m_fleet_metrics.Set("is_coordinator", m_coordinator->IsActive() ? 1.0 : 0.0);
     m_fleet_metrics.Set("epoch", static_cast<double>(m_coordinator->Known().m_epoch));
+    m_fleet_metrics.Set("calls_in_progress", static_cast<double>(m_in_progress));
     m_fleet_metrics.Set("config_version", static_cast<double>(m_queues.m_version));
     m_fleet_metrics.Set("jobs", static_cast<double>(state.m_jobs.size()));
     m_fleet_metrics.Set("silent_members", static_cast<double>(state.m_silent_members.size()));
@@ -254,13 +258,17 @@
                                 .m_retry_after = kStoppedRetryAfter,
                                 .m_ends_connection = true,
                                 .m_reason = "this entry has stopped"};
-    respond(answer);
+    respond(answer, [path = call.m_path](const std::string& error) { LogUnsent(path, error); });
     LogEvent(kCallAnswered, {{"path", call.m_path},
                              {"method", static_cast<int>(call.m_method)},
                              {"status", FrontStatusName(answer.m_status)},
                              {"why", answer.m_reason}});
   }
 
+  static void LogUnsent(const std::string& path, const std::string& error) {
+    if (!error.empty()) LogEvent(kAnswerNotSent, {{"path", path}, {"reason", error}});
+  }
+
   void ServeCaller(JobApiCall call, const platform::JobApiRespond& respond) {
     const auto began = BootNow();
     auto answer = [this, began, respond, method = call.m_method,
@@ -268,7 +276,7 @@
       // The load balancer sends no new connections to a draining entry. Callers on open connections
       // are told to use another one by this flag.
       result.m_ends_connection = m_draining;
-      respond(result);
+      respond(result, [path](const std::string& error) { LogUnsent(path, error); });
       --m_in_progress;
       RecordAnswer(method, path, BootNow() - began, result);
     };
--- a/packages/platform/include/ebonypin/platform/job_front.h
+++ b/packages/platform/include/ebonypin/platform/job_front.h
@@ -46,7 +46,10 @@
   std::string m_reason;
 };
 
-using JobApiRespond = std::function<void(const JobApiResponse&)>;
+/// Called once when an answer has been written to its connection, or with the reason why it could
+/// not be written.
+using JobApiSent = std::function<void(const std::string& error)>;
+using JobApiRespond = std::function<void(const JobApiResponse&, JobApiSent)>;
 using JobApiHandler = std::function<void(JobApiCall, JobApiRespond)>;
 
 /// Heartbeat that a worker sends to its agent.
