Add a failing test for calls that are open at the drain limit

An entry process with a drain limit of 1 s gets SIGTERM; 0.3 s before the limit a caller submits a job that waits for a silent store; 1 s after the limit the process is killed, as the platform does.

--- /dev/null
+++ b/packages/daemon/scenarios/fleet_process_test.cc
@@ -0,0 +1,54 @@
+/// Scenarios of an entry that runs as a process of its own and gets signals.
+#include <cppunit/extensions/HelperMacros.h>
+#include <signal.h>
+
+#include <thread>
+
+#include "ebonypin/standin/users_messages.h"
+#include "entry_process.h"
+#include "fleet_site.h"
+
+namespace ebonypin::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+class FleetProcessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetProcessTest);
+  CPPUNIT_TEST(CallsInProgressAtTheDrainLimitAreAnswered);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against calls that get no answer because the process reaches its drain limit and is
+  /// killed at the end of the platform's grace time, one second later.
+  void CallsInProgressAtTheDrainLimitAreAnswered() {
+    constexpr auto kDrainLimit = 1s;
+    constexpr auto kGrace = kDrainLimit + 1s;
+    FleetSite site(0, 0, false);
+    site.PutConfig(1, "/renders/");
+    EntryProcess entry(site.StoreAddress(), kDrainLimit);
+    const auto call = [&](const std::string& method, const std::string& path) {
+      return SendHttp(entry.HttpAddress(), method, path,
+                      method == "POST" ? standin::UsersJob("run 1", 1, false) : std::string{});
+    };
+    CPPUNIT_ASSERT(WaitUntil([&] { return call("GET", "/renders/").m_status == 200; }));
+    // A submission waits for the store, which does not answer, for up to 1.5 s.
+    site.SetStoreFaults(R"({"lose_answers":1000})");
+    entry.Signal(SIGTERM);
+    const auto terminated = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(kDrainLimit - 300ms);
+    HttpResult submitted;
+    std::thread caller([&] { submitted = call("POST", "/renders/0123456789abcdef"); });
+    const auto left = terminated + kGrace - std::chrono::steady_clock::now();
+    const bool ended =
+        entry.WaitForEnd(std::chrono::duration_cast<std::chrono::milliseconds>(left));
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL(504, submitted.m_status);
+    CPPUNIT_ASSERT(ended);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetProcessTest);
+
+}  // namespace
+}  // namespace ebonypin::daemon
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -17,6 +17,8 @@
   FleetSite(std::size_t entries, std::size_t agents, bool with_config = true);
   ~FleetSite();
 
+  [[nodiscard]] const std::string& StoreAddress() const noexcept { return m_store_address; }
+
   /// Calls entry number `entry`. A status of 0 means that there was no answer.
   [[nodiscard]] HttpResult Call(std::size_t entry, const std::string& method,
                                 const std::string& path, const std::string& body = {}) const;
