Answer the open calls of an entry that stops

Cause: at the drain limit the role was destroyed while calls were in progress. It closed its metrics and readiness servers first, which takes over a second, and then stopped the event thread, which drops the calls it holds. A call may wait for the store or for a coordinator for 1.5 s, and the platform kills the process 1 s after the limit. A call also counted as finished before its answer was written.

Change: a stopping role first ends its leadership, which answers the calls that wait for the store, and then gives up the calls that its router still holds: a submission that cannot have run is refused, any other call is unknown. It waits until the answers have been written, at most 0.5 s, before it closes anything. Calls that come later are refused by the listener, which is destroyed last.

--- a/packages/daemon/src/fleet/call_router.cc
+++ b/packages/daemon/src/fleet/call_router.cc
@@ -15,7 +15,8 @@
   core::fleet::JobCall m_call;
   core::Time m_deadline;
   JobCallDone m_done;
-  bool m_may_have_run = false;  ///< An attempt may have taken effect.
+  bool m_in_attempt = false;    ///< The current attempt has not been answered.
+  bool m_may_have_run = false;  ///< An earlier attempt may have taken effect.
 };
 
 CallRouter::CallRouter(std::shared_ptr<EventThread> events, wire::Rpc& rpc,
@@ -27,10 +28,21 @@
       PendingCall{.m_call = std::move(call),
                   .m_deadline = BootNow() + std::min(budget, m_options.m_budget),
                   .m_done = std::move(done)});
+  m_open.insert(pending);
   Attempt(pending);
 }
 
+void CallRouter::GiveUpAll(const std::string& reason) {
+  const auto open = m_open;
+  for (const auto& pending : open) {
+    if (pending->m_in_attempt) pending->m_may_have_run = true;
+    GiveUp(pending, {.m_reason = reason});
+  }
+}
+
 void CallRouter::Attempt(const std::shared_ptr<PendingCall>& pending) {
+  if (m_open.count(pending) == 0) return;
+  pending->m_in_attempt = true;
   const auto left =
       std::max<core::Duration>(pending->m_deadline - BootNow(), m_options.m_retry_delay);
   const auto& known = m_coordinator.Known();
@@ -62,6 +74,8 @@
   if (reply.m_epoch > 0 && !reply.m_coordinator.empty()) {
     m_coordinator.ObserveCoordinator(reply.m_epoch, reply.m_coordinator);
   }
+  if (m_open.count(pending) == 0) return;
+  pending->m_in_attempt = false;
   const bool retryable =
       reply.m_status == JobCallStatus::kNotCoordinator || reply.m_status == JobCallStatus::kUnknown;
   if (reply.m_status == JobCallStatus::kUnknown) pending->m_may_have_run = true;
@@ -71,17 +85,22 @@
     if (reply.m_status == JobCallStatus::kRefused && pending->m_may_have_run) {
       final_reply.m_status = JobCallStatus::kUnknown;
     }
-    return pending->m_done(final_reply);
-  }
-  if (BootNow() + m_options.m_retry_delay >= pending->m_deadline) {
-    JobCallReply last = reply;
-    const bool submits = pending->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
-    last.m_status =
-        submits && !pending->m_may_have_run ? JobCallStatus::kRefused : JobCallStatus::kUnknown;
-    last.m_retry_after = m_options.m_retry_after;
-    return pending->m_done(last);
+    return Finish(pending, final_reply);
   }
+  if (BootNow() + m_options.m_retry_delay >= pending->m_deadline) return GiveUp(pending, reply);
   m_events->At(Now() + m_options.m_retry_delay, [this, pending] { Attempt(pending); });
 }
 
+void CallRouter::GiveUp(const std::shared_ptr<PendingCall>& pending, JobCallReply last) {
+  const bool submits = pending->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
+  last.m_status =
+      submits && !pending->m_may_have_run ? JobCallStatus::kRefused : JobCallStatus::kUnknown;
+  last.m_retry_after = m_options.m_retry_after;
+  Finish(pending, last);
+}
+
+void CallRouter::Finish(const std::shared_ptr<PendingCall>& pending, const JobCallReply& reply) {
+  if (m_open.erase(pending) > 0) pending->m_done(reply);
+}
+
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/fleet/call_router.h
+++ b/packages/daemon/src/fleet/call_router.h
@@ -1,8 +1,9 @@
 /// Forwards callers' job calls to the coordinator, in this process or through RPC.
 #pragma once
 
-#include <atomic>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "coordinator_service.h"
 
@@ -31,16 +32,24 @@
   /// refused, since it has not run.
   void Call(core::fleet::JobCall call, core::Duration budget, JobCallDone done);
 
+  /// Answers all calls that are still open, for a process that ends. `reason` is for logs.
+  void GiveUpAll(const std::string& reason);
+
  private:
   struct PendingCall;
 
   void Attempt(const std::shared_ptr<PendingCall>& pending);
   void OnReply(const std::shared_ptr<PendingCall>& pending, const core::fleet::JobCallReply& reply);
+  /// Answers a call without a final reply: a submission that cannot have run is refused, and the
+  /// outcome of any other call is unknown.
+  void GiveUp(const std::shared_ptr<PendingCall>& pending, core::fleet::JobCallReply last);
+  void Finish(const std::shared_ptr<PendingCall>& pending, const core::fleet::JobCallReply& reply);
 
   const std::shared_ptr<EventThread> m_events;
   wire::Rpc& m_rpc;
   CoordinatorService& m_coordinator;
   const CallRouterOptions m_options;
+  std::set<std::shared_ptr<PendingCall>> m_open;
 };
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -46,6 +46,11 @@
   LeaveGroup();
 }
 
+void CoordinatorService::Stop() {
+  m_leaving = true;
+  BecomeFollower("the process ends");
+}
+
 void CoordinatorService::LeaveGroup() {
   m_store.Leave(kCoordinatorGroup, MemberName(OwnCandidate()), m_generation);
 }
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -61,6 +61,10 @@
   /// successor has claimed the next epoch, which takes seconds while the store is slow.
   void Leave();
 
+  /// Ends the leadership at once, for a process that ends. Waiting calls are answered; submissions
+  /// that were not sent to the store are withdrawn.
+  void Stop();
+
   [[nodiscard]] bool IsActive() const noexcept;
   [[nodiscard]] const KnownCoordinator& Known() const noexcept { return m_known; }
   [[nodiscard]] const core::fleet::Coordinator& State() const noexcept { return m_state; }
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -1,9 +1,11 @@
 /// Entry role for jobs of steps: serves callers, and runs the coordinator while it is the leader.
 #include <atomic>
+#include <future>
 #include <memory>
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "../address.h"
@@ -49,6 +51,11 @@
 /// Retry-After of an entry that has stopped. Other entries can serve the call at once, but
 /// Retry-After has a resolution of one second.
 constexpr auto kStoppedRetryAfter = 1s;
+constexpr auto kStoppedReason = "this entry has stopped";
+/// Longest time that a stop waits for the last answers. The platform kills the process 1 s after
+/// the drain limit.
+constexpr auto kLastAnswersTime = 500ms;
+constexpr auto kLastAnswersPoll = 2ms;
 /// Interval at which metrics are updated, and so the maximum age of a scraped value.
 constexpr auto kMetricsInterval = 1s;
 constexpr std::size_t kJobIdDigits = 16;
@@ -101,17 +108,12 @@
       : m_settings(std::move(settings)), m_platform(RequirePlatform()) {}
 
   ~FleetEntryRole() override {
-    // The listener for callers is closed last. Once it is closed, the HTTP library answers 404 on
-    // open connections, which callers take for "no such queue".
     m_stopped = true;
-    if (const auto open = m_in_progress.load(); open > 0) {
-      LogEvent(kCallsLeftOpen, {{"calls", open}});
-    }
+    AnswerOpenCalls();
     m_metrics_server = nullptr;
     m_readiness = nullptr;
     m_events->Stop();
     m_rpc = nullptr;
-    m_job_api = nullptr;
   }
 
   void Start() override {
@@ -148,8 +150,10 @@
     m_events->Every(kMetricsInterval, [this] { UpdateMetrics(); });
     m_job_api = m_platform.m_job_api(
         m_settings.m_http_address, [this](JobApiCall call, platform::JobApiRespond respond) {
+          // Counted before the check of `m_stopped`: AnswerOpenCalls waits for every call that is
+          // not refused here.
+          ++*m_in_progress;
           if (m_stopped) return RefuseAfterStop(call, respond);
-          ++m_in_progress;
           m_events->Post([this, call = std::move(call), respond = std::move(respond)]() mutable {
             ServeCaller(std::move(call), respond);
           });
@@ -166,16 +170,34 @@
   }
 
   [[nodiscard]] bool IsDrained() const override {
-    return m_draining && BootNow() >= m_drain_end.load() && m_in_progress == 0;
+    return m_draining && BootNow() >= m_drain_end.load() && *m_in_progress == 0;
   }
 
  private:
+  /// Answers the calls that are in progress here, also those of other entries to the coordinator,
+  /// and waits until the answers to callers have been written.
+  void AnswerOpenCalls() {
+    if (m_router == nullptr) return;  // The start failed before any call was taken.
+    if (const auto calls = m_in_progress->load(); calls > 0) {
+      LogEvent(kCallsLeftOpen, {{"calls", calls}});
+    }
+    const auto until = Now() + kLastAnswersTime;
+    const auto answered = std::make_shared<std::promise<void>>();
+    m_events->Post([this, answered] {
+      m_coordinator->Stop();
+      m_router->GiveUpAll(kStoppedReason);
+      answered->set_value();
+    });
+    (void)answered->get_future().wait_until(until);
+    while (*m_in_progress > 0 && Now() < until) std::this_thread::sleep_for(kLastAnswersPoll);
+  }
+
   void UpdateMetrics() {
     const auto& state = m_coordinator->State();
     const auto& counters = state.m_counters;
     m_fleet_metrics.Set("is_coordinator", m_coordinator->IsActive() ? 1.0 : 0.0);
     m_fleet_metrics.Set("epoch", static_cast<double>(m_coordinator->Known().m_epoch));
-    m_fleet_metrics.Set("calls_in_progress", static_cast<double>(m_in_progress));
+    m_fleet_metrics.Set("calls_in_progress", static_cast<double>(*m_in_progress));
     m_fleet_metrics.Set("config_version", static_cast<double>(m_queues.m_version));
     m_fleet_metrics.Set("jobs", static_cast<double>(state.m_jobs.size()));
     m_fleet_metrics.Set("silent_members", static_cast<double>(state.m_silent_members.size()));
@@ -253,20 +275,25 @@
   }
 
   /// Runs on a listener thread, since the event thread has stopped or is about to stop.
-  static void RefuseAfterStop(const JobApiCall& call, const platform::JobApiRespond& respond) {
+  void RefuseAfterStop(const JobApiCall& call, const platform::JobApiRespond& respond) const {
     const JobApiResponse answer{.m_status = JobApiStatus::kRefused,
                                 .m_retry_after = kStoppedRetryAfter,
                                 .m_ends_connection = true,
-                                .m_reason = "this entry has stopped"};
-    respond(answer, [path = call.m_path](const std::string& error) { LogUnsent(path, error); });
+                                .m_reason = kStoppedReason};
+    Send(call.m_path, answer, respond);
     LogEvent(kCallAnswered, {{"path", call.m_path},
                              {"method", static_cast<int>(call.m_method)},
                              {"status", FrontStatusName(answer.m_status)},
                              {"why", answer.m_reason}});
   }
 
-  static void LogUnsent(const std::string& path, const std::string& error) {
-    if (!error.empty()) LogEvent(kAnswerNotSent, {{"path", path}, {"reason", error}});
+  /// Sends the answer. The call is in progress until the answer has been written.
+  void Send(const std::string& path, const JobApiResponse& answer,
+            const platform::JobApiRespond& respond) const {
+    respond(answer, [path, in_progress = m_in_progress](const std::string& error) {
+      if (!error.empty()) LogEvent(kAnswerNotSent, {{"path", path}, {"reason", error}});
+      --*in_progress;
+    });
   }
 
   void ServeCaller(JobApiCall call, const platform::JobApiRespond& respond) {
@@ -275,11 +302,15 @@
                    path = call.m_path](JobApiResponse result) {
       // The load balancer sends no new connections to a draining entry. Callers on open connections
       // are told to use another one by this flag.
-      result.m_ends_connection = m_draining;
-      respond(result, [path](const std::string& error) { LogUnsent(path, error); });
-      --m_in_progress;
+      result.m_ends_connection = m_draining || m_stopped;
+      Send(path, result, respond);
       RecordAnswer(method, path, BootNow() - began, result);
     };
+    if (m_stopped) {
+      return answer({.m_status = JobApiStatus::kRefused,
+                     .m_retry_after = kStoppedRetryAfter,
+                     .m_reason = kStoppedReason});
+    }
     if (m_queues.m_version == 0) {
       return answer({.m_status = JobApiStatus::kRefused,
                      .m_retry_after = kNoConfigRetryAfter,
@@ -363,6 +394,15 @@
   const config::Settings m_settings;
   const platform::PlatformPlugin& m_platform;
   const std::shared_ptr<EventThread> m_events = std::make_shared<EventThread>();
+  /// Calls without a written answer. Shared with the HTTP library, which may write the last answers
+  /// after the role is destroyed.
+  const std::shared_ptr<std::atomic<std::int64_t>> m_in_progress =
+      std::make_shared<std::atomic<std::int64_t>>(0);
+  std::atomic<bool> m_stopped{false};  ///< The role is being destroyed; calls are refused.
+  FleetMetrics m_fleet_metrics;
+  /// Destroyed after all members below. Once it is closed, the HTTP library answers 404 on open
+  /// connections, which callers take for "no such queue".
+  std::unique_ptr<platform::Listener> m_job_api;
   std::unique_ptr<platform::KeyedStore> m_store;
   std::unique_ptr<platform::AdviceService> m_advice;
   std::unique_ptr<platform::MachineList> m_machines;
@@ -371,17 +411,13 @@
   std::unique_ptr<CallRouter> m_router;
   std::shared_ptr<TopicWatch> m_config_watch;
   std::shared_ptr<TopicWatch> m_coordinator_watch;
-  std::unique_ptr<platform::Listener> m_job_api;
   std::unique_ptr<platform::Listener> m_readiness;
   std::unique_ptr<MetricsServer> m_metrics_server;
-  FleetMetrics m_fleet_metrics;
   core::fleet::QueueTable m_queues;
   core::fleet::Evacuations m_evacuations;
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_draining{false};
-  std::atomic<bool> m_stopped{false};  ///< The role is being destroyed; calls are refused.
   std::atomic<core::Time> m_drain_end{};
-  std::atomic<std::int64_t> m_in_progress{0};
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterRole(
