Let the first append of an epoch be taken before a second one begins

Cause: the store takes any sequence number as the first one of a writer's epoch. When the second append of an epoch overtook the first, it was taken and the first one refused, and its success was read as the success of both.

Change: no append overlaps the first one of an epoch until the store has taken that one. The tests of overlapping appends now begin with a writer whose first append was taken; their bounds are unchanged.

--- a/packages/core/include/ebonypin/core/fleet/append_queue.h
+++ b/packages/core/include/ebonypin/core/fleet/append_queue.h
@@ -3,7 +3,9 @@
 /// Callers wait for the append of their change, and a change that misses an append waits for the
 /// next one. While the store is fast, appends follow one another. While it is slow, a few are in
 /// progress at the same time, so that a change waits for about one answer and not for up to two.
-/// The store takes them in the order of their sequence numbers.
+/// The store takes them in the order of their sequence numbers, but it takes any number as the
+/// first one of an epoch. The first append of an epoch is therefore the only one until the store
+/// has taken it.
 ///
 /// Example:
 ///
@@ -43,8 +45,9 @@
   AppendQueueOptions m_options;
   std::deque<OpenAppend> m_open;  ///< By sequence number.
   std::uint64_t m_last_sequence = 0;
-  Time m_not_before;     ///< Earliest time of the next call.
-  Time m_failing_since;  ///< Clock epoch while appends succeed.
+  bool m_first_taken = false;  ///< The store has taken an append of this epoch.
+  Time m_not_before;           ///< Earliest time of the next call.
+  Time m_failing_since;        ///< Clock epoch while appends succeed.
 };
 
 /// How a call ended; see AppendStatus of the store.
--- a/packages/core/src/fleet/append_queue.cc
+++ b/packages/core/src/fleet/append_queue.cc
@@ -9,6 +9,7 @@
   const auto& options = queue.m_options;
   if (now < queue.m_not_before) return false;
   if (queue.m_open.empty()) return true;
+  if (!queue.m_first_taken) return false;
   if (queue.m_failing_since != Time{} || queue.m_open.size() >= options.m_max_open) return false;
   return queue.m_open.front().m_in_flight &&
          now - queue.m_open.back().m_began >= options.m_overlap_after;
@@ -48,6 +49,7 @@
   found->m_in_flight = false;
   switch (outcome) {
     case AppendOutcome::kAppended:
+      queue.m_first_taken = true;
       queue.m_failing_since = {};
       while (!queue.m_open.empty() && queue.m_open.front().m_sequence <= sequence) {
         result.m_written.push_back(std::move(queue.m_open.front().m_batch));
--- a/packages/core/tests/fleet/append_queue_test.cc
+++ b/packages/core/tests/fleet/append_queue_test.cc
@@ -28,7 +28,7 @@
 /// Returns the longest wait of changes that come every 20 ms for 2 s, at a store that answers after
 /// `answer_time`.
 Duration LongestWait(const AppendQueueOptions& options, const Duration answer_time) {
-  AppendQueue queue{.m_options = options};
+  AppendQueue queue{.m_options = options, .m_first_taken = true};
   std::map<std::uint64_t, Time> answers;
   std::map<std::uint64_t, Time> oldest_change;
   std::optional<Time> unsent_since;
@@ -52,6 +52,7 @@
   CPPUNIT_TEST_SUITE(AppendQueueTest);
   CPPUNIT_TEST(AChangeWaitsForAboutOneAnswerOfASlowStore);
   CPPUNIT_TEST(AFastStoreGetsOneAppendAtATime);
+  CPPUNIT_TEST(TheFirstAppendOfAnEpochIsNotOvertaken);
   CPPUNIT_TEST(BatchesAreWrittenInOrder);
   CPPUNIT_TEST(ALaterSuccessShowsThatALostAnswerWasASuccess);
   CPPUNIT_TEST(AnAppendThatOvertookIsRepeatedAfterTheOlderOne);
@@ -81,6 +82,22 @@
     CPPUNIT_ASSERT(OldestBegan(queue) == Time{});
   }
 
+  /// Guards against an accepted job that is not in the store: the store takes any sequence number
+  /// as the first one of an epoch, so a second append that arrives before the first would be taken,
+  /// and the first one refused.
+  void TheFirstAppendOfAnEpochIsNotOvertaken() {
+    AppendQueue queue;
+    (void)Begin(queue, kStart, BatchOf("a"));
+    CPPUNIT_ASSERT(!MayBegin(queue, kStart + queue.m_options.m_overlap_after));
+    (void)OnOutcome(queue, kStart + 1s, 1, AppendOutcome::kUnknown);
+    CPPUNIT_ASSERT(!MayBegin(queue, kStart + 2s));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, NextRepeat(queue, kStart + 2s)->m_sequence);
+    CPPUNIT_ASSERT(!MayBegin(queue, kStart + 3s));
+    (void)OnOutcome(queue, kStart + 3s, 1, AppendOutcome::kAppended);
+    (void)Begin(queue, kStart + 3s, BatchOf("b"));
+    CPPUNIT_ASSERT(MayBegin(queue, kStart + 3s + queue.m_options.m_overlap_after));
+  }
+
   void BatchesAreWrittenInOrder() {
     AppendQueue queue = TwoOpen();
     CPPUNIT_ASSERT(AcceptedIn(OnOutcome(queue, kStart + 1s, 1, AppendOutcome::kAppended)) ==
@@ -141,7 +158,7 @@
 
  private:
   static AppendQueue TwoOpen() {
-    AppendQueue queue;
+    AppendQueue queue{.m_first_taken = true};
     (void)Begin(queue, kStart, BatchOf("a"));
     CPPUNIT_ASSERT(MayBegin(queue, kStart + queue.m_options.m_overlap_after));
     (void)Begin(queue, kStart + queue.m_options.m_overlap_after, BatchOf("b"));
--- a/packages/daemon/scenarios/fleet_test.cc
+++ b/packages/daemon/scenarios/fleet_test.cc
@@ -165,6 +165,7 @@
   CPPUNIT_TEST(ASubmissionWithoutACoordinatorIsRefused);
   CPPUNIT_TEST(AStoppingCoordinatorGoesOnUntilItsSuccessorClaims);
   CPPUNIT_TEST(AcceptedJobsSurviveALossOfPower);
+  CPPUNIT_TEST(AnAcceptedJobOutlivesAppendsThatChangePlaces);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -342,6 +343,27 @@
     site.StartEntry(1);
     CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(1, kJob) == "done"; }));
   }
+
+  /// Guards against an accepted job that the next coordinator does not know, because the second
+  /// append of an epoch arrived at the store before the first one.
+  void AnAcceptedJobOutlivesAppendsThatChangePlaces() {
+    FleetSite site(1, 0, false);
+    site.PutConfig(1, "/renders/");
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Call(0, "GET", "/renders/").m_status == 200; }));
+    site.SetStoreFaults(R"({"hold_append": true})");
+    HttpResult first;
+    std::thread caller([&] { first = site.Submit(0, kJob, "run 1"); });
+    std::this_thread::sleep_for(150ms);  // The first append has been sent.
+    const auto second = site.Submit(0, kOtherJob, "run 1");
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL(200, first.m_status);
+    CPPUNIT_ASSERT_EQUAL(200, second.m_status);
+    site.StopEntry(0);
+    site.StartEntry(0);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Call(0, "GET", "/renders/").m_status == 200; }));
+    CPPUNIT_ASSERT_EQUAL(std::string{"queued"}, site.StateOf(0, kOtherJob));
+    CPPUNIT_ASSERT_EQUAL(std::string{"queued"}, site.StateOf(0, kJob));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetCallsTest);
--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -5,6 +5,8 @@
 ///
 ///     POST /faults {"down": true}            everything is refused with 503
 ///                  {"lose_answers": n}       the next n appends are done and not answered
+///                  {"hold_append": true}     the next append of records is done after the one that
+///                                            follows it, at the latest after 500 ms
 ///                  {"drop_history": true}    only the newest record of each key stays
 ///                  {"put": {"topic": t, "key": k, "value": v}}    appends a record, as operators
 ///                  do
@@ -12,8 +14,10 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
+#include <utility>
 
 #include "ebonypin/standin/standin.h"
 #include "keyed_log.h"
@@ -30,6 +34,7 @@
 constexpr std::size_t kItemsPerPage = 500;
 /// Between two looks whether a read that waits has something to answer.
 constexpr auto kPollInterval = 5ms;
+constexpr auto kHoldTime = 500ms;
 
 using Query = std::map<std::string, std::string>;
 
@@ -92,6 +97,14 @@
     StoreTime m_until;
   };
 
+  /// Append that is done after the next one.
+  struct HeldAppend {
+    http_request m_request;
+    std::string m_topic;
+    AppendCall m_call;
+    StoreTime m_until;
+  };
+
   void Serve(const http_request& request) {
     request.extract_vector().then([this, request](const std::vector<unsigned char>& body) {
       try {
@@ -135,6 +148,7 @@
   void SetFaults(const http_request& request, const value& json) {
     if (json.has_field("down")) m_down = json.at("down").as_bool();
     if (json.has_field("lose_answers")) m_lose_answers = json.at("lose_answers").as_integer();
+    if (json.has_field("hold_append")) m_hold_append = json.at("hold_append").as_bool();
     if (json.has_field("drop_history")) {
       for (auto& [topic, log] : m_topics) log.DropHistory();
     }
@@ -156,7 +170,26 @@
                     .m_epoch = GetNumber(query, "epoch"),
                     .m_sequence = GetNumber(query, "Seq")};
     if (query.count("At") > 0) call.m_at = GetNumber(query, "At");
-    const auto result = m_topics[Get(query, "Topic")].Append(call);
+    if (m_hold_append && !call.m_records.empty()) {
+      m_hold_append = false;
+      m_held = HeldAppend{.m_request = request,
+                          .m_topic = Get(query, "Topic"),
+                          .m_call = std::move(call),
+                          .m_until = std::chrono::steady_clock::now() + kHoldTime};
+      return;
+    }
+    const bool has_records = !call.m_records.empty();
+    Append(request, Get(query, "Topic"), call);
+    if (has_records) AppendHeld();
+  }
+
+  void AppendHeld() {
+    const auto held = std::exchange(m_held, std::nullopt);
+    if (held) Append(held->m_request, held->m_topic, held->m_call);
+  }
+
+  void Append(const http_request& request, const std::string& topic, const AppendCall& call) {
+    const auto result = m_topics[topic].Append(call);
     if (m_lose_answers > 0) {
       --m_lose_answers;
       m_unanswered.push_back(request);
@@ -227,6 +260,7 @@
       const std::lock_guard lock(m_mutex);
       if (m_stopping) return;
       const auto now = std::chrono::steady_clock::now();
+      if (m_held && now >= m_held->m_until) AppendHeld();
       std::erase_if(m_reads, [&](const WaitingRead& read) { return TryRead(read, now); });
     }
   }
@@ -258,6 +292,8 @@
   bool m_stopping = false;
   bool m_down = false;
   int m_lose_answers = 0;
+  bool m_hold_append = false;
+  std::optional<HeldAppend> m_held;
   std::map<std::string, KeyedLog> m_topics;
   std::map<std::string, MemberGroup> m_groups;
   std::vector<WaitingRead> m_reads;
