Answer the requests in progress when an entry with its own log stops

What callers would see: a request of the roles entry and agent that is in progress at the drain limit gets no answer.

The role is destroyed with requests in progress, and the threads that would answer them are stopped first.

Change: the HTTP server keeps its requests in progress. A stop refuses later requests and answers the open ones with an unknown outcome, waits until the answers have been written, at most 0.5 s, and then goes on.

--- a/packages/daemon/scenarios/entry_test.cc
+++ b/packages/daemon/scenarios/entry_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ConcurrentChangesHaveOneWinner);
   CPPUNIT_TEST(WatchCursorContinuesOnAnotherEntry);
   CPPUNIT_TEST(PlannedStopFinishesRequestsAndHandsOverJobs);
+  CPPUNIT_TEST(RequestsInProgressAtTheDrainLimitAreAnswered);
   CPPUNIT_TEST(OpenJobsAndClassesOutliveTheLogsRetention);
   CPPUNIT_TEST(DeadlineIsKeptWhileTheLogIsSlow);
   CPPUNIT_TEST(LargeBodiesAreRefused);
@@ -152,6 +153,28 @@
     CPPUNIT_ASSERT((seen == std::vector<std::string>{"v1", "v2", "v3", "v4"}));
   }
 
+  /// Guards against requests that get no answer because the entry reached its drain limit.
+  void RequestsInProgressAtTheDrainLimitAreAnswered() {
+    Site site(1);
+    ScriptedAgent agent("agent", site.RpcAddresses());
+    site.CreateClass("lookup", kRequest);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return site.Call(0, "POST", "/v1/requests", WorkJson("w", "lookup", "x")).m_status == 200;
+    }));
+    auto held = std::async(std::launch::async, [&site] {
+      return site.Call(0, "POST", "/v1/requests", WorkJson("h", "lookup", "hold"));
+    });
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return site.Call(0, "GET", "/v1/status").m_body.at("requests_in_flight").as_integer() == 1;
+    }));
+    site.Entry(0).BeginDrain();
+    site.StopEntry(0);
+    const auto answer = held.get();
+    agent.Release();
+    CPPUNIT_ASSERT_EQUAL(504, answer.m_status);
+    CPPUNIT_ASSERT_EQUAL(std::string{"draining"}, answer.ErrorKind());
+  }
+
   /// Guards against a planned stop that cuts off a request or leaves jobs without an owner.
   void PlannedStopFinishesRequestsAndHandsOverJobs() {
     Site site(2);
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -25,6 +25,8 @@
 /// Time between informing the load balancer of a planned stop and refusing new work, so that calls
 /// already on their way are still served.
 constexpr core::Duration kLeaveNotice = 2s;
+/// Longest time that a stop waits until its last answers have been written.
+constexpr core::Duration kLastAnswersTime = 500ms;
 
 bool IsNaive(const config::Settings& settings) { return settings.m_policy == "naive"; }
 
@@ -72,6 +74,10 @@
                 MakeCaller(), m_config, m_jobs, m_members) {}
 
   ~EntryRole() override {
+    m_http.Stop(UnknownOutcome({.m_kind = core::ErrorKind::kDraining,
+                                .m_message = "this entry stops; the work may have run: ask "
+                                             "another entry"}),
+                kLastAnswersTime);
     m_metrics.reset();
     m_stopping = true;
     m_timers.Stop();
--- a/packages/daemon/src/entry/http_server.cc
+++ b/packages/daemon/src/entry/http_server.cc
@@ -1,7 +1,9 @@
 #include "http_server.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
+#include <thread>
 #include <utility>
 
 #include "../event_thread.h"
@@ -12,6 +14,8 @@
 using web::http::http_request;
 using web::http::status_codes;
 
+constexpr auto kStopPoll = std::chrono::milliseconds{2};
+
 bool IsPlaceholder(const std::string& segment) { return segment.starts_with('{'); }
 
 /// Returns the values of the placeholders, or std::nullopt when `path` does not match `route`.
@@ -74,14 +78,36 @@
   m_open = true;
 }
 
+void HttpServer::Stop(const ApiAnswer& answer, const core::Duration timeout) {
+  m_stopping = true;
+  std::set<OpenRequestPtr> open_requests;
+  {
+    const std::lock_guard lock(m_mutex);
+    open_requests = m_open_requests;
+  }
+  for (const auto& open : open_requests) Send(open, answer);
+  const auto until = Now() + timeout;
+  while (m_counters.m_in_progress > 0 && Now() < until) std::this_thread::sleep_for(kStopPoll);
+}
+
 void HttpServer::Serve(const http_request& request) {
   ++m_counters.m_calls;
   ++m_counters.m_in_progress;
+  const auto open = std::make_shared<OpenRequest>();
+  open->m_request = request;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_open_requests.insert(open);
+  }
   ApiCall call{.m_arrived = Now()};
   try {
+    if (m_stopping) {
+      return Send(open, Refusal({.m_kind = core::ErrorKind::kDraining,
+                                 .m_message = "this entry stops; use another entry"}));
+    }
     if (const auto error = CheckBody(request)) {
       DropBody(request);
-      return Send(request, Refusal(*error));
+      return Send(open, Refusal(*error));
     }
     const auto path = web::uri::split_path(request.relative_uri().path());
     bool known_path = false;
@@ -94,39 +120,44 @@
       for (auto& [name, text] : web::uri::split_query(request.relative_uri().query())) {
         call.m_query.emplace(web::uri::decode(name), web::uri::decode(text));
       }
-      return Handle(request, route, std::move(call));
+      return Handle(open, route, std::move(call));
     }
-    Send(request, Refusal({.m_kind = core::ErrorKind::kNotFound,
-                           .m_message = known_path ? "the path does not support method " +
-                                                         request.method() + "; see docs/http_api.md"
-                                                   : "no such path; see docs/http_api.md"}));
+    Send(open, Refusal({.m_kind = core::ErrorKind::kNotFound,
+                        .m_message = known_path ? "the path does not support method " +
+                                                      request.method() + "; see docs/http_api.md"
+                                                : "no such path; see docs/http_api.md"}));
   } catch (const std::exception& exception) {
-    Send(request, Refusal(Invalid(exception.what())));
+    Send(open, Refusal(Invalid(exception.what())));
   }
 }
 
-void HttpServer::Handle(const http_request& request, const Route& route, ApiCall call) {
-  const auto run = [this, request, &route](const ApiCall& ready) {
-    route.m_handler(ready, [this, request](const ApiAnswer& answer) { Send(request, answer); });
+void HttpServer::Handle(const OpenRequestPtr& open, const Route& route, ApiCall call) {
+  const auto run = [this, open, &route](const ApiCall& ready) {
+    route.m_handler(ready, [this, open](const ApiAnswer& answer) { Send(open, answer); });
   };
-  if (request.headers().content_length() == 0) {
+  if (open->m_request.headers().content_length() == 0) {
     call.m_body = web::json::value::object();
     return run(call);
   }
-  http_request(request).extract_string(true).then(
-      [this, request, run, call = std::move(call)](const pplx::task<std::string>& body) mutable {
+  open->m_request.extract_string(true).then(
+      [this, open, run, call = std::move(call)](const pplx::task<std::string>& body) mutable {
         try {
           call.m_body = web::json::value::parse(body.get());
           if (!call.m_body.is_object()) throw std::invalid_argument("the body is not an object");
           run(call);
         } catch (const std::exception& exception) {
           // Handlers throw only before they answer or start any work.
-          Send(request, Refusal(Invalid(exception.what())));
+          Send(open, Refusal(Invalid(exception.what())));
         }
       });
 }
 
-void HttpServer::Send(const http_request& request, const ApiAnswer& answer) {
+void HttpServer::Send(const OpenRequestPtr& open, const ApiAnswer& answer) {
+  if (open->m_answered.test_and_set()) return;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_open_requests.erase(open);
+  }
   if (answer.m_status == status_codes::GatewayTimeout) {
     ++m_counters.m_unknown;
   } else if (answer.m_status >= status_codes::BadRequest) {
@@ -139,7 +170,7 @@
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.m_retry_after);
     response.headers().add("Retry-After", seconds.count());
   }
-  request.reply(response).then([this](const pplx::task<void>& sent) {
+  open->m_request.reply(response).then([this](const pplx::task<void>& sent) {
     try {
       sent.get();
     } catch (const std::exception&) {
--- a/packages/daemon/src/entry/http_server.h
+++ b/packages/daemon/src/entry/http_server.h
@@ -6,6 +6,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,17 +43,31 @@
   /// Begins to serve. Throws std::exception when the address is in use.
   void Open();
 
+  /// Refuses further requests and gives those in progress `answer`. Returns when the answers have
+  /// been written, at the latest after `timeout`. Later answers to these requests are ignored.
+  void Stop(const ApiAnswer& answer, core::Duration timeout);
+
   [[nodiscard]] const HttpCounters& Counters() const noexcept { return m_counters; }
 
  private:
+  /// Request in progress.
+  struct OpenRequest {
+    web::http::http_request m_request;
+    std::atomic_flag m_answered;
+  };
+  using OpenRequestPtr = std::shared_ptr<OpenRequest>;
+
   void Serve(const web::http::http_request& request);
-  void Handle(const web::http::http_request& request, const Route& route, ApiCall call);
-  void Send(const web::http::http_request& request, const ApiAnswer& answer);
+  void Handle(const OpenRequestPtr& open, const Route& route, ApiCall call);
+  void Send(const OpenRequestPtr& open, const ApiAnswer& answer);
 
   web::http::experimental::listener::http_listener m_listener;
   std::vector<Route> m_routes;
   HttpCounters m_counters;
   bool m_open = false;
+  std::atomic<bool> m_stopping{false};
+  std::mutex m_mutex;
+  std::set<OpenRequestPtr> m_open_requests;
 };
 
 }  // namespace ebonypin::daemon
