--- a/packages/platform/include/ebonypin/platform/job_front.h
+++ b/packages/platform/include/ebonypin/platform/job_front.h
@@ -66,7 +66,8 @@
   std::function<void(const std::string& reason)> m_on_malformed;
 };
 
-/// Open listener, closed by its destructor.
+/// Open listener, closed by its destructor, which waits for the handlers that are running. Later
+/// ones are not called.
 class Listener {
  public:
   Listener() = default;
