Refuse the calls of an entry with its own log while it is being destroyed

A call that came during the destruction reached destroyed services, and a body that ended after the close reached a destroyed server. The answer of the last calls also counted itself in the destroyed server.

Change: the server calls its handlers through the gate, and Stop closes the gate first. A request whose body has not ended was not handled, so it is refused and not given the answer of the stop. What the HTTP library uses after the close is shared with it.

--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -74,6 +74,8 @@
                 MakeCaller(), m_config, m_jobs, m_members) {}
 
   ~EntryRole() override {
+    // Handlers use the members that are destroyed below. The listener itself is closed last, since
+    // the HTTP library then answers 404 on open connections.
     m_http.Stop(UnknownOutcome({.m_kind = core::ErrorKind::kDraining,
                                 .m_message = "this entry stops; the work may have run: ask "
                                              "another entry"}),
--- a/packages/daemon/src/entry/http_server.cc
+++ b/packages/daemon/src/entry/http_server.cc
@@ -14,8 +14,6 @@
 using web::http::http_request;
 using web::http::status_codes;
 
-constexpr auto kStopPoll = std::chrono::milliseconds{2};
-
 bool IsPlaceholder(const std::string& segment) { return segment.starts_with('{'); }
 
 /// Returns the values of the placeholders, or std::nullopt when `path` does not match `route`.
@@ -57,6 +55,17 @@
       std::ios_base::out, std::make_exception_ptr(std::runtime_error("the body was refused")));
 }
 
+/// Retry-After of a call that comes after Stop. Other entries can serve the call at once, but
+/// Retry-After has a resolution of one second.
+constexpr std::chrono::seconds kStoppedRetryAfter{1};
+constexpr std::chrono::milliseconds kStopPoll{2};
+
+ApiAnswer StoppedAnswer() {
+  return Refusal({.m_kind = core::ErrorKind::kNoCapacity,
+                  .m_message = "this entry has stopped; call another one",
+                  .m_retry_after = kStoppedRetryAfter});
+}
+
 }  // namespace
 
 HttpServer::HttpServer(const std::string& address) : m_listener("http://" + address) {
@@ -65,6 +74,7 @@
 
 HttpServer::~HttpServer() {
   if (m_open) m_listener.close().wait();
+  m_calls->m_gate.Close();
 }
 
 void HttpServer::Add(const web::http::method& method, const std::string& path, ApiHandler handler) {
@@ -79,35 +89,39 @@
 }
 
 void HttpServer::Stop(const ApiAnswer& answer, const core::Duration timeout) {
-  m_stopping = true;
+  m_calls->m_gate.Close();
   std::set<OpenRequestPtr> open_requests;
   {
-    const std::lock_guard lock(m_mutex);
-    open_requests = m_open_requests;
+    const std::lock_guard lock(m_calls->m_mutex);
+    open_requests = m_calls->m_open;
+  }
+  for (const auto& open : open_requests) {
+    // A request whose body has not ended is refused by the gate.
+    if (open->m_handled) Send(m_calls, open, answer);
   }
-  for (const auto& open : open_requests) Send(open, answer);
   const auto until = Now() + timeout;
-  while (m_counters.m_in_progress > 0 && Now() < until) std::this_thread::sleep_for(kStopPoll);
+  while (Counters().m_in_progress > 0 && Now() < until) std::this_thread::sleep_for(kStopPoll);
 }
 
 void HttpServer::Serve(const http_request& request) {
-  ++m_counters.m_calls;
-  ++m_counters.m_in_progress;
+  ++m_calls->m_counters.m_calls;
+  ++m_calls->m_counters.m_in_progress;
   const auto open = std::make_shared<OpenRequest>();
   open->m_request = request;
   {
-    const std::lock_guard lock(m_mutex);
-    m_open_requests.insert(open);
+    const std::lock_guard lock(m_calls->m_mutex);
+    m_calls->m_open.insert(open);
   }
+  if (!m_calls->m_gate.Run([&] { Dispatch(open); })) Send(m_calls, open, StoppedAnswer());
+}
+
+void HttpServer::Dispatch(const OpenRequestPtr& open) {
+  const auto& request = open->m_request;
   ApiCall call{.m_arrived = Now()};
   try {
-    if (m_stopping) {
-      return Send(open, Refusal({.m_kind = core::ErrorKind::kDraining,
-                                 .m_message = "this entry stops; use another entry"}));
-    }
     if (const auto error = CheckBody(request)) {
       DropBody(request);
-      return Send(open, Refusal(*error));
+      return Send(m_calls, open, Refusal(*error));
     }
     const auto path = web::uri::split_path(request.relative_uri().path());
     bool known_path = false;
@@ -122,46 +136,60 @@
       }
       return Handle(open, route, std::move(call));
     }
-    Send(open, Refusal({.m_kind = core::ErrorKind::kNotFound,
-                        .m_message = known_path ? "the path does not support method " +
-                                                      request.method() + "; see docs/http_api.md"
-                                                : "no such path; see docs/http_api.md"}));
+    Send(m_calls, open,
+         Refusal({.m_kind = core::ErrorKind::kNotFound,
+                  .m_message = known_path ? "the path does not support method " + request.method() +
+                                                "; see docs/http_api.md"
+                                          : "no such path; see docs/http_api.md"}));
   } catch (const std::exception& exception) {
-    Send(open, Refusal(Invalid(exception.what())));
+    Send(m_calls, open, Refusal(Invalid(exception.what())));
   }
 }
 
 void HttpServer::Handle(const OpenRequestPtr& open, const Route& route, ApiCall call) {
-  const auto run = [this, open, &route](const ApiCall& ready) {
-    route.m_handler(ready, [this, open](const ApiAnswer& answer) { Send(open, answer); });
+  const auto run = [calls = m_calls, open, &route](const ApiCall& ready) {
+    open->m_handled = true;
+    route.m_handler(ready, [calls, open](const ApiAnswer& answer) { Send(calls, open, answer); });
   };
   if (open->m_request.headers().content_length() == 0) {
     call.m_body = web::json::value::object();
     return run(call);
   }
-  open->m_request.extract_string(true).then(
-      [this, open, run, call = std::move(call)](const pplx::task<std::string>& body) mutable {
-        try {
-          call.m_body = web::json::value::parse(body.get());
-          if (!call.m_body.is_object()) throw std::invalid_argument("the body is not an object");
-          run(call);
-        } catch (const std::exception& exception) {
-          // Handlers throw only before they answer or start any work.
-          Send(open, Refusal(Invalid(exception.what())));
-        }
-      });
+  open->m_request.extract_string(true).then([calls = m_calls, open, run, call = std::move(call)](
+                                                const pplx::task<std::string>& body) mutable {
+    const auto refuse = [&](const std::exception& exception) {
+      Send(calls, open, Refusal(Invalid(exception.what())));
+    };
+    try {
+      call.m_body = web::json::value::parse(body.get());
+      if (!call.m_body.is_object()) throw std::invalid_argument("the body is not an object");
+    } catch (const std::exception& exception) {
+      return refuse(exception);
+    }
+    const bool taken = calls->m_gate.Run([&] {
+      try {
+        run(call);
+      } catch (const std::exception& exception) {
+        // Handlers throw only before they answer or start any work.
+        refuse(exception);
+      }
+    });
+    if (!taken) Send(calls, open, StoppedAnswer());
+  });
 }
 
-void HttpServer::Send(const OpenRequestPtr& open, const ApiAnswer& answer) {
+void HttpServer::Send(const std::shared_ptr<Calls>& calls, const OpenRequestPtr& open,
+                      const ApiAnswer& answer) {
   if (open->m_answered.test_and_set()) return;
   {
-    const std::lock_guard lock(m_mutex);
-    m_open_requests.erase(open);
+    const std::lock_guard lock(calls->m_mutex);
+    calls->m_open.erase(open);
   }
+  auto& counters = calls->m_counters;
   if (answer.m_status == status_codes::GatewayTimeout) {
-    ++m_counters.m_unknown;
+    ++counters.m_unknown;
   } else if (answer.m_status >= status_codes::BadRequest) {
-    ++m_counters.m_refused;
+    ++counters.m_refused;
   }
   web::http::http_response response(answer.m_status);
   response.set_body(answer.m_body);
@@ -170,13 +198,13 @@
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.m_retry_after);
     response.headers().add("Retry-After", seconds.count());
   }
-  open->m_request.reply(response).then([this](const pplx::task<void>& sent) {
+  open->m_request.reply(response).then([calls](const pplx::task<void>& sent) {
     try {
       sent.get();
     } catch (const std::exception&) {
       // The caller has closed the connection.
     }
-    --m_counters.m_in_progress;
+    --calls->m_counters.m_in_progress;
   });
 }
 
--- a/packages/daemon/src/entry/http_server.h
+++ b/packages/daemon/src/entry/http_server.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/platform/call_gate.h"
 #include "http_api.h"
 
 namespace ebonypin::daemon {
@@ -43,31 +44,41 @@
   /// Begins to serve. Throws std::exception when the address is in use.
   void Open();
 
-  /// Refuses further requests and gives those in progress `answer`. Returns when the answers have
-  /// been written, at the latest after `timeout`. Later answers to these requests are ignored.
+  /// Refuses requests that no handler has got, waits for the handlers that are running and gives
+  /// the requests that were handled `answer`. Returns when the answers have been written, at the
+  /// latest after `timeout`. Later answers to these requests are ignored.
   void Stop(const ApiAnswer& answer, core::Duration timeout);
 
-  [[nodiscard]] const HttpCounters& Counters() const noexcept { return m_counters; }
+  [[nodiscard]] const HttpCounters& Counters() const noexcept { return m_calls->m_counters; }
 
  private:
-  /// Request in progress.
+  /// Request in progress, which is answered once.
   struct OpenRequest {
     web::http::http_request m_request;
+    std::atomic<bool> m_handled{false};  ///< A handler was called.
     std::atomic_flag m_answered;
   };
   using OpenRequestPtr = std::shared_ptr<OpenRequest>;
 
+  /// Shared with the HTTP library, which reads bodies to their ends and may write the last answers
+  /// after the listener is closed.
+  struct Calls {
+    platform::CallGate m_gate;  ///< Handlers are called through it.
+    HttpCounters m_counters;
+    std::mutex m_mutex;
+    std::set<OpenRequestPtr> m_open;
+  };
+
   void Serve(const web::http::http_request& request);
+  void Dispatch(const OpenRequestPtr& open);
   void Handle(const OpenRequestPtr& open, const Route& route, ApiCall call);
-  void Send(const OpenRequestPtr& open, const ApiAnswer& answer);
+  static void Send(const std::shared_ptr<Calls>& calls, const OpenRequestPtr& open,
+                   const ApiAnswer& answer);
 
+  const std::shared_ptr<Calls> m_calls = std::make_shared<Calls>();
   web::http::experimental::listener::http_listener m_listener;
   std::vector<Route> m_routes;
-  HttpCounters m_counters;
   bool m_open = false;
-  std::atomic<bool> m_stopping{false};
-  std::mutex m_mutex;
-  std::set<OpenRequestPtr> m_open_requests;
 };
 
 }  // namespace ebonypin::daemon
