Keep late bodies away from destroyed stand-ins

The continuation that reads a body used the stand-in, which may be destroyed once its listener is closed.

Change: the stand-ins of the store, the log and both workers use the gate.

--- a/packages/standin/src/log/log_standin.cc
+++ b/packages/standin/src/log/log_standin.cc
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "ebonypin/standin/standin.h"
+#include "read_body.h"
 #include "stream_store.h"
 
 DEFINE_int64(log_max_age_ms, 0, "log stand-in: age after which an entry is dropped; 0: never");
@@ -97,6 +98,7 @@
     m_wake.notify_all();
     if (m_timer.joinable()) m_timer.join();
     m_listener.close().wait();
+    m_gate->Close();
   }
 
   void Start() override {
@@ -138,14 +140,15 @@
     });
   }
 
-  static void ReadBody(const http_request& request, std::function<void(const value&)> use) {
-    request.extract_json(true).then([request, use = std::move(use)](const pplx::task<value>& body) {
-      try {
-        use(body.get());
-      } catch (const std::exception& exception) {
-        Reply(request, status_codes::BadRequest, value::string(exception.what()));
-      }
-    });
+  void ReadBody(const http_request& request, std::function<void(const value&)> use) {
+    UseBody(request, http_request(request).extract_json(true), m_gate,
+            [request, use = std::move(use)](const pplx::task<value>& body) {
+              try {
+                use(body.get());
+              } catch (const std::exception& exception) {
+                Reply(request, status_codes::BadRequest, value::string(exception.what()));
+              }
+            });
   }
 
   void ServeAppend(const http_request& request, const std::string& stream, std::string data) {
@@ -277,6 +280,7 @@
     return {.m_max_age_ms = FLAGS_log_max_age_ms, .m_max_entries = FLAGS_log_max_entries};
   }
 
+  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
   web::http::experimental::listener::http_listener m_listener;
   std::mutex m_mutex;
   std::condition_variable m_wake;
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "ebonypin/standin/standin.h"
+#include "read_body.h"
 #include "run_worker_sim.h"
 
 DEFINE_string(run_worker_control, "", "run worker: address of the agent that takes heartbeats");
@@ -62,6 +63,7 @@
     if (m_beats.joinable()) m_beats.join();
     if (m_ticks.joinable()) m_ticks.join();
     m_listener.close().wait();
+    m_gate->Close();
   }
 
   void Start() override {
@@ -94,14 +96,15 @@
       const std::lock_guard lock(m_mutex);
       return ReplyStatus(request);
     }
-    request.extract_json(true).then([this, request](const pplx::task<value>& body) {
-      const std::lock_guard lock(m_mutex);
-      try {
-        Answer(request, body.get());
-      } catch (const std::exception& exception) {
-        request.reply(status_codes::BadRequest, exception.what());
-      }
-    });
+    UseBody(request, request.extract_json(true), m_gate,
+            [this, request](const pplx::task<value>& body) {
+              const std::lock_guard lock(m_mutex);
+              try {
+                Answer(request, body.get());
+              } catch (const std::exception& exception) {
+                request.reply(status_codes::BadRequest, exception.what());
+              }
+            });
   }
 
   void ReplyStatus(const http_request& request) {
@@ -256,6 +259,7 @@
     }
   }
 
+  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
   web::http::experimental::listener::http_listener m_listener;
   const std::string m_control;
   const std::string m_id;
--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -21,6 +21,7 @@
 
 #include "ebonypin/standin/standin.h"
 #include "keyed_log.h"
+#include "read_body.h"
 
 namespace ebonypin::standin {
 namespace {
@@ -82,6 +83,7 @@
     }
     if (m_reader.joinable()) m_reader.join();
     m_listener.close().wait();
+    m_gate->Close();
   }
 
   void Start() override {
@@ -106,9 +108,10 @@
   };
 
   void Serve(const http_request& request) {
-    request.extract_vector().then([this, request](const std::vector<unsigned char>& body) {
+    using Body = pplx::task<std::vector<unsigned char>>;
+    UseBody(request, Body(request.extract_vector()), m_gate, [this, request](const Body& body) {
       try {
-        Answer(request, body);
+        Answer(request, body.get());
       } catch (const std::exception& exception) {
         request.reply(status_codes::BadRequest, exception.what());
       }
@@ -286,6 +289,7 @@
     return true;
   }
 
+  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
   web::http::experimental::listener::http_listener m_listener;
   std::thread m_reader;
   std::mutex m_mutex;
--- a/packages/standin/src/worker/worker_server.cc
+++ b/packages/standin/src/worker/worker_server.cc
@@ -6,6 +6,7 @@
 #include <exception>
 #include <utility>
 
+#include "read_body.h"
 #include "worker_json.h"
 
 namespace ebonypin::standin {
@@ -77,6 +78,7 @@
   if (m_thread.joinable()) m_thread.join();
   for (const auto& request : open) Send(request, http_response(status_codes::ServiceUnavailable));
   m_listener.close().wait();
+  m_gate->Close();
 }
 
 void WorkerServer::Start() {
@@ -105,19 +107,20 @@
     response.set_body(HistoryToJson(m_sim));
     Send(request, response);
   } else if (what == "POST /faults") {
-    request.extract_json(true).then([this, request](const pplx::task<value>& body) {
-      http_response response(status_codes::OK);
-      try {
-        const std::lock_guard lock(m_mutex);
-        AdvanceLocked();
-        response.set_body(ApplyFaults(m_sim, body.get()));
-      } catch (const std::exception& exception) {
-        response.set_status_code(status_codes::BadRequest);
-        response.set_body(exception.what());
-      }
-      m_changed.notify_all();
-      Send(request, response);
-    });
+    UseBody(request, request.extract_json(true), m_gate,
+            [this, request](const pplx::task<value>& body) {
+              http_response response(status_codes::OK);
+              try {
+                const std::lock_guard lock(m_mutex);
+                AdvanceLocked();
+                response.set_body(ApplyFaults(m_sim, body.get()));
+              } catch (const std::exception& exception) {
+                response.set_status_code(status_codes::BadRequest);
+                response.set_body(exception.what());
+              }
+              m_changed.notify_all();
+              Send(request, response);
+            });
   } else if (call != calls.end()) {
     HandleJson(request, call->second);
   } else if (what == "GET /events") {
@@ -132,7 +135,7 @@
 void WorkerServer::HandleJson(Request request, const Call call) {
   const auto body = request.method() == web::http::methods::GET ? pplx::task_from_result(value())
                                                                 : request.extract_json(true);
-  body.then([this, request, call](const pplx::task<value>& json) {
+  UseBody(request, body, m_gate, [this, request, call](const pplx::task<value>& json) {
     const std::lock_guard lock(m_mutex);
     AdvanceLocked();
     if (m_sim.m_faults.m_silent) {
@@ -152,25 +155,27 @@
 }
 
 void WorkerServer::HandleServe(Request request) {
-  request.extract_string(true).then([this, request](const pplx::task<std::string>& body) {
-    const auto id = request.headers().find("X-Request-Id");
-    const std::lock_guard lock(m_mutex);
-    AdvanceLocked();
-    if (m_sim.m_faults.m_silent) {
-      m_unanswered.push_back(request);
-      return;
-    }
-    const auto number = ++m_last_request;
-    if (!Serve(m_sim, number, id == request.headers().end() ? "" : id->second, body.get())) {
-      http_response refused(status_codes::ServiceUnavailable);
-      refused.headers().add("X-Not-Run", "1");
-      ReplyLocked(request, refused);
-      return;
-    }
-    m_serving.emplace(number, request);
-    AdvanceLocked();
-    m_changed.notify_all();
-  });
+  UseBody(
+      request, request.extract_string(true), m_gate,
+      [this, request](const pplx::task<std::string>& body) {
+        const auto id = request.headers().find("X-Request-Id");
+        const std::lock_guard lock(m_mutex);
+        AdvanceLocked();
+        if (m_sim.m_faults.m_silent) {
+          m_unanswered.push_back(request);
+          return;
+        }
+        const auto number = ++m_last_request;
+        if (!Serve(m_sim, number, id == request.headers().end() ? "" : id->second, body.get())) {
+          http_response refused(status_codes::ServiceUnavailable);
+          refused.headers().add("X-Not-Run", "1");
+          ReplyLocked(request, refused);
+          return;
+        }
+        m_serving.emplace(number, request);
+        AdvanceLocked();
+        m_changed.notify_all();
+      });
 }
 
 void WorkerServer::HandlePoll(const Request& request) {
--- a/packages/standin/src/worker/worker_server.h
+++ b/packages/standin/src/worker/worker_server.h
@@ -23,6 +23,7 @@
 #include <thread>
 #include <vector>
 
+#include "ebonypin/platform/call_gate.h"
 #include "worker_sim.h"
 
 namespace ebonypin::standin {
@@ -71,6 +72,7 @@
   void ReplyLocked(const Request& request, const web::http::http_response& response);
   void ReplyLocked(const Request& request, const Answer& answer);
 
+  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
   web::http::experimental::listener::http_listener m_listener;
   const std::uint64_t m_boot;
   std::mutex m_mutex;
