Report and log the runs that a worker had when it crashed

A crash showed only as a silent worker and a new one, and each of its runs as lost for the same reason as after a restart of the worker. The agent now keeps the runs that were, or may have been, at work when the worker's process was replaced without having drained, with their age, logs them (E626) and reports them until the coordinator has recorded them. The coordinator counts a crash for the tasks whose run was at most 500 ms old, logs the count (E614 'worker crashed') and stores it with the job's progress. It does not act on it yet.

The new fields of the messages and the record are empty for builds without them: an earlier coordinator ignores the list and records nothing, so the agent bounds it, and an earlier agent reports no crash.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -57,6 +57,9 @@
   /// The same limit for filling tasks, which make no progress while their agent throttles them to
   /// zero.
   Duration m_filling_stall_limit = std::chrono::seconds{10};
+  /// Age up to which a run may be the cause of its worker's crash. Tasks that crash their workers
+  /// do so within some 10 ms of their start; an agent notices it within 120 ms.
+  Duration m_crash_window = std::chrono::milliseconds{500};
   /// Interval between two updates of the interference model from one worker's figures, which cover
   /// half a second.
   Duration m_learn_interval = std::chrono::milliseconds{450};
@@ -140,11 +143,12 @@
   RunNumber m_recorded_run = 0;    ///< Ends up to this run were processed in earlier epochs.
   std::vector<RunNumber> m_ended;  ///< Runs whose ends were processed in this epoch.
   std::uint32_t m_failures = 0;
-  std::uint32_t m_percent = 0;  ///< Progress of the current run.
-  std::uint32_t m_stalls = 0;   ///< Runs that were stopped because they made no progress.
-  bool m_stopping = false;      ///< A stop of the current run was ordered.
-  AgentId m_agent;              ///< Agent of the current run.
-  std::uint64_t m_order = 0;    ///< Number of the start order in the session; zero: adopted run.
+  std::vector<RunNumber> m_crashes;  ///< Runs that crashed their worker, or may have.
+  std::uint32_t m_percent = 0;       ///< Progress of the current run.
+  std::uint32_t m_stalls = 0;        ///< Runs that were stopped because they made no progress.
+  bool m_stopping = false;           ///< A stop of the current run was ordered.
+  AgentId m_agent;                   ///< Agent of the current run.
+  std::uint64_t m_order = 0;  ///< Number of the start order in the session; zero: adopted run.
   Time m_placed;
   Time m_progressed;           ///< When the percentage last changed.
   Time m_not_before;           ///< Earliest time of the next start.
@@ -248,6 +252,10 @@
   std::uint64_t m_ends_seen = 0;      ///< Highest number of a reported end.
   std::uint64_t m_ends_taken = 0;     ///< Ends up to this number were handed out by TakeWrites.
   std::uint64_t m_ends_recorded = 0;  ///< Ends up to this number are in the store.
+  // Crashes of the worker, by the incarnation that crashed.
+  std::int64_t m_crash_seen = 0;
+  std::int64_t m_crash_taken = 0;     ///< Crashes up to this one were handed out by TakeWrites.
+  std::int64_t m_crash_recorded = 0;  ///< Crashes up to this one are in the store.
   Time m_learned;                     ///< When the model was last updated from its figures.
   std::map<ImageName, double> m_filling_loads;  ///< Shares in use at that time, by filling image.
   WorkerHealth m_health;
@@ -279,6 +287,7 @@
     AgentId m_agent;
     std::int64_t m_born = 0;
     std::uint64_t m_number = 0;
+    std::int64_t m_crash = 0;  ///< Incarnation of the newest crash.
   };
   std::vector<RecordedEnds> m_ends;
 };
--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -57,6 +57,16 @@
   friend bool operator==(const RunEnded&, const RunEnded&) = default;
 };
 
+/// Run that was, or may have been, at work on a worker when the worker crashed.
+struct CrashedRun {
+  std::int64_t m_born = 0;  ///< Incarnation of the worker that crashed.
+  TaskRef m_task;
+  RunNumber m_run = 0;
+  Duration m_age{};  ///< Time from the start of the run until the worker fell silent.
+
+  friend bool operator==(const CrashedRun&, const CrashedRun&) = default;
+};
+
 /// Sent by an agent to the coordinator twice a second and after each change.
 struct AgentReport {
   AgentId m_agent;
@@ -69,6 +79,7 @@
   WorkerInfo m_worker;
   std::vector<RunStatus> m_runs;
   std::vector<RunEnded> m_ends;
+  std::vector<CrashedRun> m_crashed;  ///< Not recorded yet. Earlier versions send none.
 
   friend bool operator==(const AgentReport&, const AgentReport&) = default;
 };
@@ -82,6 +93,8 @@
   std::uint64_t m_recorded_end = 0;  ///< Ends up to this number are in the store.
   std::int64_t m_worker_born = 0;    ///< Incarnation of the worker that `m_recorded_end` refers to.
   std::vector<ImagePair> m_pairs;    ///< Interference between the images that run there.
+  /// Crashes of incarnations up to this one are in the store. Earlier versions send zero.
+  std::int64_t m_recorded_crash = 0;
 
   friend bool operator==(const AgentReportReply&, const AgentReportReply&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -25,6 +25,7 @@
   std::uint32_t m_failures = 0;
   RunNumber m_run = 0;  ///< Newest run whose end is included in this record.
   std::string m_checkpoint;
+  std::vector<RunNumber> m_crashes;  ///< Runs under which a worker crashed.
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -60,6 +60,9 @@
   /// Time after a change of the share from which the measured use shows what the full share would
   /// use.
   Duration m_usage_settle_time = std::chrono::milliseconds{700};
+  /// Limit on the crashed runs that are kept for the report: several crashes of a full worker. The
+  /// oldest are dropped, because a coordinator of an earlier version records none.
+  std::size_t m_max_crashed_runs = 256;
   PacingOptions m_pacing;
 };
 
@@ -72,6 +75,7 @@
   bool m_in_flight = false;   ///< A call about the run has no answer yet.
   bool m_maybe_sent = false;  ///< A start without an answer may still be carried out.
   std::uint32_t m_tries = 0;
+  Time m_started;  ///< First start call or listing; epoch: no start was sent.
   Time m_next_call;
   Time m_confirmed;        ///< When the worker last confirmed that the run is running or stopped.
   bool m_stopped = false;  ///< The worker confirmed a stop.
@@ -156,11 +160,14 @@
   std::map<TaskRef, LocalRun> m_runs;
   std::vector<RunEnded> m_ends;
   std::uint64_t m_recorded_end = 0;
-  std::uint64_t m_arrivals = 0;  ///< Number of runs taken so far.
-  double m_worst_ratio = 0.0;    ///< Largest latency of a serving run, divided by its target.
-  Time m_missed_since;           ///< Since when a target is missed; epoch: all are met.
-  ImagePairs m_pairs;            ///< Interference as learned by the coordinator.
-  Time m_own_loads_updated;      ///< When the serving runs' own loads were last updated.
+  std::vector<CrashedRun> m_crashed;          ///< Not recorded yet.
+  std::map<TaskRef, LocalRun> m_lapsed_runs;  ///< Runs whose leases ended while it was unreachable.
+  Time m_silent_since;                        ///< When an unreachable worker stopped answering.
+  std::uint64_t m_arrivals = 0;               ///< Number of runs taken so far.
+  double m_worst_ratio = 0.0;  ///< Largest latency of a serving run, divided by its target.
+  Time m_missed_since;         ///< Since when a target is missed; epoch: all are met.
+  ImagePairs m_pairs;          ///< Interference as learned by the coordinator.
+  Time m_own_loads_updated;    ///< When the serving runs' own loads were last updated.
   bool m_hold_in_flight = false;
   std::uint64_t m_hold_fence = 0;  ///< Fence of the hold call in flight.
   Time m_next_hold;
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -154,6 +154,16 @@
   }
 }
 
+void OnCrashes(Coordinator& state, Agent& agent, const AgentReport& report) {
+  for (const auto& run : report.m_crashed) {
+    if (run.m_born <= agent.m_crash_seen) continue;
+    OnCrash(state, agent, run);
+  }
+  for (const auto& run : report.m_crashed) {
+    agent.m_crash_seen = std::max(agent.m_crash_seen, run.m_born);
+  }
+}
+
 }  // namespace
 
 void AddPlacedRun(Coordinator& state, Agent& agent, const TaskRef& ref, Task& task) {
@@ -265,6 +275,7 @@
   }
   if (new_session) BeginSession(state, agent);
   OnEnds(state, now, agent, report);
+  OnCrashes(state, agent, report);
   DropStrays(state, agent);
   for (const auto& run : report.m_runs) OnRun(state, now, agent, run);
   EndMissing(state, now, agent, report, new_session);
@@ -276,6 +287,7 @@
   if (agent.m_recorded) reply.m_grant = state.m_options.m_grant;
   reply.m_recorded_end = agent.m_ends_recorded;
   reply.m_worker_born = agent.m_ends_born;
+  reply.m_recorded_crash = agent.m_crash_recorded;
   return reply;
 }
 
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -61,6 +61,10 @@
 /// Handles the end of a run. Repeated ends have no effect.
 void OnEnd(Coordinator& state, Time now, Agent& agent, const RunEnded& end);
 
+/// Counts the crash of a worker for a task that was started there just before. Repeated reports
+/// have no effect.
+void OnCrash(Coordinator& state, const Agent& agent, const CrashedRun& run);
+
 /// Handles a run that is gone without a reported end.
 void OnLost(Coordinator& state, Time now, const TaskRef& ref, Task& task, std::string reason);
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -256,6 +256,20 @@
   }
 }
 
+void OnCrash(Coordinator& state, const Agent& agent, const CrashedRun& run) {
+  Job* const job = FindJob(state, run.m_task.m_job);
+  Task* const task = FindTask(state, run.m_task);
+  if (task == nullptr || task->m_phase == TaskPhase::kDone || job->m_closed) return;
+  if (run.m_age > state.m_options.m_crash_window) return;
+  auto& crashes = task->m_crashes;
+  if (std::find(crashes.begin(), crashes.end(), run.m_run) != crashes.end()) return;
+  crashes.push_back(run.m_run);
+  state.m_unwritten_progress.insert(run.m_task.m_job);
+  LogFailure(state, "worker crashed", run.m_task, run.m_run, agent.m_id,
+             "the run was " + std::to_string(run.m_age.count() / 1000) + " ms old; crash " +
+                 std::to_string(crashes.size()) + " soon after a start of this task");
+}
+
 std::optional<JobCallReply> OnCall(Coordinator& state, const Time now, const JobCall& call) {
   Job* const job = FindJob(state, call.m_job.m_id);
   switch (call.m_kind) {
@@ -358,6 +372,7 @@
     task->m_run = task->m_recorded_run = stored.m_run;
     task->m_failures = stored.m_failures;
     task->m_checkpoint = std::move(stored.m_checkpoint);
+    task->m_crashes = std::move(stored.m_crashes);
     if (stored.m_done) Finish(state, *job, ref, *task);
   }
 }
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -25,14 +25,17 @@
         const Task& task = tasks[i];
         const bool done = task.m_phase == TaskPhase::kDone;
         const bool placed = task.m_phase == TaskPhase::kPlaced;
-        if (!done && task.m_failures == 0 && task.m_checkpoint.empty()) continue;
+        const bool initial =
+            !done && task.m_failures == 0 && task.m_checkpoint.empty() && task.m_crashes.empty();
+        if (initial) continue;
         progress.m_tasks.push_back({.m_occurrence = number,
                                     .m_step = step,
                                     .m_index = i,
                                     .m_done = done,
                                     .m_failures = task.m_failures,
                                     .m_run = placed ? task.m_run - 1 : task.m_run,
-                                    .m_checkpoint = task.m_checkpoint});
+                                    .m_checkpoint = task.m_checkpoint,
+                                    .m_crashes = task.m_crashes});
       }
     }
   }
@@ -51,6 +54,7 @@
   if (!state.m_unwritten_members.empty() || !state.m_removed_keys.empty()) return true;
   for (const auto& [id, agent] : state.m_agents) {
     if (agent.m_ends_seen > agent.m_ends_taken) return true;
+    if (agent.m_crash_seen > agent.m_crash_taken) return true;
   }
   return false;
 }
@@ -82,10 +86,15 @@
     batch.m_records.emplace_back(*std::exchange(state.m_unwritten_pairs, std::nullopt));
   }
   for (auto& [id, agent] : state.m_agents) {
-    if (agent.m_ends_seen <= agent.m_ends_taken) continue;
+    const bool has_new =
+        agent.m_ends_seen > agent.m_ends_taken || agent.m_crash_seen > agent.m_crash_taken;
+    if (!has_new) continue;
     agent.m_ends_taken = agent.m_ends_seen;
-    batch.m_ends.push_back(
-        {.m_agent = id, .m_born = agent.m_ends_born, .m_number = agent.m_ends_seen});
+    agent.m_crash_taken = agent.m_crash_seen;
+    batch.m_ends.push_back({.m_agent = id,
+                            .m_born = agent.m_ends_born,
+                            .m_number = agent.m_ends_seen,
+                            .m_crash = agent.m_crash_seen});
   }
   return batch;
 }
@@ -124,6 +133,7 @@
   for (const auto& ends : batch.m_ends) {
     auto& agent = state.m_agents.at(ends.m_agent);
     if (agent.m_ends_born == ends.m_born) agent.m_ends_recorded = ends.m_number;
+    agent.m_crash_recorded = ends.m_crash;
   }
 }
 
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -10,9 +10,35 @@
 /// difference of clocks within a second.
 constexpr std::uint64_t kFenceStep = std::uint64_t{10'000} << 10U;
 
+/// Adds the runs that were, or may have been, at work when the worker crashed at `crashed`.
+void AddCrashedRuns(WorkerAgent& agent, const std::map<TaskRef, LocalRun>& runs,
+                    const Time crashed) {
+  for (const auto& [task, run] : runs) {
+    if (run.m_started == Time{} || run.m_stopped) continue;
+    agent.m_crashed.push_back({.m_born = agent.m_worker.m_born,
+                               .m_task = task,
+                               .m_run = run.m_order.m_run,
+                               .m_age = std::max(crashed - run.m_started, Duration{})});
+  }
+}
+
+/// Keeps the runs of a worker that has crashed. A worker that leaves as planned drains first.
+void KeepCrashedRuns(WorkerAgent& agent, const Time now) {
+  if (agent.m_worker.m_draining) return;
+  const Time crashed = agent.m_worker.m_reachable ? now : agent.m_silent_since;
+  AddCrashedRuns(agent, agent.m_runs, crashed);
+  AddCrashedRuns(agent, agent.m_lapsed_runs, crashed);
+  const std::size_t limit = agent.m_options.m_max_crashed_runs;
+  if (agent.m_crashed.size() <= limit) return;
+  agent.m_crashed.erase(agent.m_crashed.begin(),
+                        agent.m_crashed.end() - static_cast<std::ptrdiff_t>(limit));
+}
+
 /// Discards the state of the worker's previous incarnation.
 void BeginIncarnation(WorkerAgent& agent, const Time now) {
+  KeepCrashedRuns(agent, now);
   agent.m_runs.clear();
+  agent.m_lapsed_runs.clear();
   agent.m_ends.clear();
   agent.m_recorded_end = 0;
   agent.m_runs_known = false;
@@ -187,6 +213,7 @@
       local.m_order.m_run = run.m_run;
       local.m_order_known = false;
       local.m_arrival = ++agent.m_arrivals;
+      local.m_started = now;
       // The share is not known, as an earlier agent may have reduced it.
       local.m_paced = 0;
       local.m_stage = RunStage::kRunning;
@@ -259,6 +286,7 @@
     case RunAnswer::kFenced:
     case RunAnswer::kNotSent:
       if (run.m_stage != RunStage::kStarting) return;
+      if (!run.m_maybe_sent) run.m_started = {};
       if (++run.m_tries >= agent.m_options.m_start_tries) return give_up();
       run.m_next_call = now + agent.m_options.m_call_retry;
       return;
@@ -355,7 +383,8 @@
                      .m_last_order = agent.m_last_order,
                      .m_runs_known = agent.m_runs_known,
                      .m_worker = agent.m_worker,
-                     .m_ends = agent.m_ends};
+                     .m_ends = agent.m_ends,
+                     .m_crashed = agent.m_crashed};
   for (const auto& [task, run] : agent.m_runs) {
     report.m_runs.push_back({.m_task = task,
                              .m_run = run.m_order.m_run,
@@ -386,6 +415,8 @@
     agent.m_granted_until = std::max(agent.m_granted_until, sent + reply.m_grant);
   }
   Adopt(agent.m_pairs, reply.m_pairs, sent);
+  std::erase_if(agent.m_crashed,
+                [&](const CrashedRun& run) { return run.m_born <= reply.m_recorded_crash; });
   if (reply.m_worker_born != agent.m_worker.m_born) return;
   agent.m_recorded_end = std::max(agent.m_recorded_end, reply.m_recorded_end);
   std::erase_if(agent.m_ends,
@@ -411,7 +442,10 @@
             const std::optional<HoldAnswer>& answer) {
   agent.m_hold_in_flight = false;
   if (!answer || answer->m_born < agent.m_worker.m_born) {
-    if (agent.m_worker.m_reachable) agent.m_report_due = true;
+    if (agent.m_worker.m_reachable) {
+      agent.m_report_due = true;
+      agent.m_silent_since = now;
+    }
     agent.m_worker.m_reachable = false;
     agent.m_next_hold = now + agent.m_options.m_call_retry;
     return;
@@ -428,6 +462,7 @@
   }
   if (!agent.m_worker.m_reachable || !agent.m_runs_known) agent.m_report_due = true;
   agent.m_worker.m_reachable = true;
+  agent.m_lapsed_runs.clear();
   agent.m_runs_known = true;
   agent.m_clock_ms = answer->m_clock_ms;
   agent.m_clock_at = now;
@@ -451,6 +486,7 @@
         if (!agent.m_worker.m_reachable) continue;
         call.m_deadline_ms = GiveLease(agent, now);
         if (call.m_deadline_ms == 0) continue;
+        if (run.m_started == Time{}) run.m_started = now;
         break;
       case RunStage::kStopping:
         call.m_kind = RunCallKind::kStop;
@@ -502,7 +538,7 @@
 void Tick(WorkerAgent& agent, const Time now) {
   if (agent.m_worker.m_reachable || now < agent.m_leased_until) return;
   if (agent.m_runs_known && agent.m_runs.empty()) return;
-  agent.m_runs.clear();
+  agent.m_lapsed_runs = std::exchange(agent.m_runs, {});
   agent.m_runs_known = true;
   agent.m_report_due = true;
 }
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -56,6 +56,29 @@
         .m_accepted;
   }
 
+  /// Orders a start that the worker carries out.
+  void StartRun(const std::uint64_t number, const RunNumber run) {
+    CPPUNIT_ASSERT(Order(number, run));
+    const auto calls = NextCalls(m_agent, m_now);
+    OnRunAnswer(m_agent, m_now, calls.at(0), RunAnswer::kOk);
+  }
+
+  /// Makes a hold call that the worker does not answer.
+  void FallSilent() {
+    m_now += 50ms;
+    CPPUNIT_ASSERT(NextHold(m_agent, m_now).has_value());
+    OnHold(m_agent, m_now, m_now, std::nullopt);
+  }
+
+  /// Announces the next incarnation of the worker.
+  void Restart() {
+    m_worker.m_id.m_value += "+";
+    m_worker.m_born += 1000;
+    OnHeartbeat(m_agent, m_now, m_worker, 1);
+  }
+
+  [[nodiscard]] std::size_t Crashes() { return MakeReport(m_agent, m_now).m_crashed.size(); }
+
   [[nodiscard]] bool Lists() { return !MakeReport(m_agent, m_now).m_runs.empty(); }
 };
 
@@ -77,9 +100,86 @@
   CPPUNIT_TEST(ADescriptionStartsNothing);
   CPPUNIT_TEST(ADrainingWorkerStartsNothing);
   CPPUNIT_TEST(ALatePaceCallIsCorrected);
+  CPPUNIT_TEST(ACrashIsReportedUntilItIsRecorded);
+  CPPUNIT_TEST(ARestartBeforeAStartWasSentIsNoCrash);
+  CPPUNIT_TEST(AWorkerThatDrainedHasNotCrashed);
+  CPPUNIT_TEST(ACutOffWorkerHasNotCrashed);
+  CPPUNIT_TEST(ACrashIsKnownAfterTheLeasesHaveEnded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against the loss of a crash whose report is lost, and against a list without end at a
+  /// coordinator of an earlier version.
+  void ACrashIsReportedUntilItIsRecorded() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    fixture.m_now += 30ms;
+    fixture.FallSilent();
+    fixture.m_now += 3s;
+    fixture.Restart();
+    const auto crashed = MakeReport(fixture.m_agent, fixture.m_now).m_crashed;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashed.size());
+    CPPUNIT_ASSERT(crashed[0].m_task == kTask && crashed[0].m_run == 1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, crashed[0].m_born);
+    CPPUNIT_ASSERT(crashed[0].m_age >= 30ms && crashed[0].m_age < 200ms);
+    fixture.Grant(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Crashes());
+    OnReportReply(fixture.m_agent, fixture.m_now,
+                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_recorded_crash = 1000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
+  }
+
+  /// Guards against a count for a task that was not at work: its start had not been sent when the
+  /// worker restarted, twice.
+  void ARestartBeforeAStartWasSentIsNoCrash() {
+    GrantedAgent fixture;
+    (void)fixture.Order(1, 1);
+    fixture.Restart();
+    (void)fixture.Order(2, 2);
+    fixture.Restart();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
+    fixture.Hold({});
+    (void)fixture.Order(3, 3);
+    const auto calls = NextCalls(fixture.m_agent, fixture.m_now);
+    OnRunAnswer(fixture.m_agent, fixture.m_now, calls.at(0), RunAnswer::kNotSent);
+    fixture.Restart();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
+  }
+
+  void AWorkerThatDrainedHasNotCrashed() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    fixture.m_worker.m_draining = true;
+    OnHeartbeat(fixture.m_agent, fixture.m_now, fixture.m_worker, 2);
+    fixture.m_worker.m_draining = false;
+    fixture.Restart();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
+  }
+
+  /// Guards against a count for a worker that is unreachable until its leases end, and runs on.
+  void ACutOffWorkerHasNotCrashed() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    fixture.FallSilent();
+    fixture.m_now += 10s;
+    Tick(fixture.m_agent, fixture.m_now);
+    CPPUNIT_ASSERT(!fixture.Lists());
+    fixture.Hold({});
+    fixture.Restart();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
+  }
+
+  /// Guards against a crash that is missed because the worker was away for longer than its leases.
+  void ACrashIsKnownAfterTheLeasesHaveEnded() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    fixture.FallSilent();
+    fixture.m_now += 10s;
+    Tick(fixture.m_agent, fixture.m_now);
+    fixture.Restart();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Crashes());
+  }
+
   /// Guards against orders of a former coordinator.
   void OrdersOfFormerCoordinatorsAndSessionsAreRefused() {
     GrantedAgent fixture;
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -1,8 +1,12 @@
 /// Agent role for jobs of steps: carries out the coordinator's orders on its worker.
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <iterator>
 #include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "../http_threads.h"
 #include "boot_clock.h"
@@ -150,7 +154,9 @@
 
   void HandleHeartbeat(const platform::WorkerHeartbeat& beat) {
     const bool draining = m_agent.m_worker.m_draining;
+    const auto former_born = m_agent.m_worker.m_born;
     const bool is_new_process = OnHeartbeat(m_agent, BootNow(), beat.m_worker, beat.m_sequence);
+    LogCrash(former_born);
     if (is_new_process || draining != m_agent.m_worker.m_draining) {
       LogEvent(kWorkerState, {{"worker", beat.m_worker.m_id.m_value},
                               {"born", beat.m_worker.m_born},
@@ -262,7 +268,9 @@
                        const bool was_reachable = m_agent.m_worker.m_reachable;
                        if (reply.m_fenced) RaiseFence(m_agent);
                        const auto ends = m_agent.m_ends.size();
+                       const auto former_born = m_agent.m_worker.m_born;
                        OnHold(m_agent, sent, BootNow(), reply.m_answer);
+                       LogCrash(former_born);
                        for (std::size_t i = ends; i < m_agent.m_ends.size(); ++i)
                          LogRunEnd(m_agent.m_ends[i]);
                        if (was_reachable != m_agent.m_worker.m_reachable) {
@@ -276,6 +284,25 @@
                    });
   }
 
+  /// Logs the runs that were lost if the worker's incarnation `born` has crashed.
+  void LogCrash(const std::int64_t born) const {
+    if (born == m_agent.m_worker.m_born) return;
+    constexpr std::size_t kMaxListed = 16;  // Bounds the line; the youngest runs come first.
+    std::vector<core::fleet::CrashedRun> runs;
+    std::copy_if(m_agent.m_crashed.begin(), m_agent.m_crashed.end(), std::back_inserter(runs),
+                 [born](const auto& run) { return run.m_born == born; });
+    if (runs.empty()) return;
+    std::sort(runs.begin(), runs.end(),
+              [](const auto& a, const auto& b) { return a.m_age < b.m_age; });
+    std::string text;
+    for (std::size_t i = 0; i < std::min(runs.size(), kMaxListed); ++i) {
+      text += (i > 0 ? ", " : "") + TaskText(runs[i].m_task) + " run " +
+              std::to_string(runs[i].m_run) + " " + std::to_string(runs[i].m_age.count() / 1000) +
+              " ms";
+    }
+    LogEvent(kWorkerCrashed, {{"born", born}, {"count", runs.size()}, {"runs", text}});
+  }
+
   void LogRunEnd(const core::fleet::RunEnded& end) {
     ++m_ended_runs;
     LogEvent(kRunEnded, {{"task", TaskText(end.m_task)},
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -84,6 +84,8 @@
   checkpoint @4 :Data;
 }
 
+struct CrashedRun { born @0 :Int64; task @1 :TaskRef; run @2 :UInt64; ageUs @3 :Int64; }
+
 struct AgentReport {
   agent @0 :Text;
   rpcAddress @1 :Text;
@@ -95,6 +97,7 @@
   runs @7 :List(RunStatus);
   ends @8 :List(RunEnded);
   number @9 :UInt64;
+  crashed @10 :List(CrashedRun);
 }
 
 struct AgentReportReply {
@@ -106,6 +109,7 @@
   recordedEnd @5 :UInt64;
   workerBorn @6 :Int64;
   pairs @7 :List(ImagePair);
+  recordedCrash @8 :Int64;
 }
 
 struct Order {
@@ -154,6 +158,7 @@
   failures @4 :UInt32;
   checkpoint @5 :Data;
   run @6 :UInt64;
+  crashes @7 :List(UInt64);
 }
 
 struct JobProgress {
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -5,15 +5,17 @@
 namespace ebonypin::wire {
 namespace {
 
-std::vector<std::uint32_t> GetNumbers(const capnp::List<std::uint32_t>::Reader in) {
+template <typename T>
+std::vector<T> GetNumbers(const typename capnp::List<T>::Reader& in) {
   RequireListSize(in.size());
-  std::vector<std::uint32_t> list;
+  std::vector<T> list;
   list.reserve(in.size());
   for (const auto number : in) list.push_back(number);
   return list;
 }
 
-void PutNumbers(capnp::List<std::uint32_t>::Builder out, const std::vector<std::uint32_t>& in) {
+template <typename T>
+void PutNumbers(typename capnp::List<T>::Builder out, const std::vector<T>& in) {
   for (unsigned i = 0; i < out.size(); ++i) out.set(i, in[i]);
 }
 
@@ -33,7 +35,7 @@
   out.setMemoryMb(in.m_size.m_memory_mb);
   out.setAccelerators(in.m_size.m_accelerators);
   out.setEstimateUs(in.m_estimate.count());
-  PutNumbers(out.initAfter(ListSize(in.m_after)), in.m_after);
+  PutNumbers<std::uint32_t>(out.initAfter(ListSize(in.m_after)), in.m_after);
   out.setRequiredLabel(in.m_required_label);
   out.setDataRack(in.m_data_rack);
   out.setImage(in.m_image.m_value);
@@ -54,7 +56,7 @@
                      .m_memory_mb = in.getMemoryMb(),
                      .m_accelerators = in.getAccelerators()},
           .m_estimate = core::Duration{in.getEstimateUs()},
-          .m_after = GetNumbers(in.getAfter()),
+          .m_after = GetNumbers<std::uint32_t>(in.getAfter()),
           .m_required_label = GetText(in.getRequiredLabel()),
           .m_data_rack = GetText(in.getDataRack()),
           .m_image = {GetText(in.getImage())},
@@ -196,6 +198,20 @@
           .m_checkpoint = GetData(in.getCheckpoint())};
 }
 
+void Put(schema::fleet::CrashedRun::Builder out, const core::fleet::CrashedRun& in) {
+  out.setBorn(in.m_born);
+  Put(out.initTask(), in.m_task);
+  out.setRun(in.m_run);
+  out.setAgeUs(in.m_age.count());
+}
+
+core::fleet::CrashedRun Get(const schema::fleet::CrashedRun::Reader in) {
+  return {.m_born = in.getBorn(),
+          .m_task = Get(in.getTask()),
+          .m_run = in.getRun(),
+          .m_age = core::Duration{in.getAgeUs()}};
+}
+
 void Put(schema::fleet::AgentReport::Builder out, const core::fleet::AgentReport& in) {
   out.setAgent(in.m_agent.m_value);
   out.setRpcAddress(in.m_rpc_address);
@@ -207,6 +223,7 @@
   Put(out.initWorker(), in.m_worker);
   PutList(out.initRuns(ListSize(in.m_runs)), in.m_runs);
   PutList(out.initEnds(ListSize(in.m_ends)), in.m_ends);
+  PutList(out.initCrashed(ListSize(in.m_crashed)), in.m_crashed);
 }
 
 core::fleet::AgentReport Get(const schema::fleet::AgentReport::Reader in) {
@@ -219,7 +236,8 @@
           .m_runs_known = in.getRunsKnown(),
           .m_worker = Get(in.getWorker()),
           .m_runs = GetList<core::fleet::RunStatus>(in.getRuns()),
-          .m_ends = GetList<core::fleet::RunEnded>(in.getEnds())};
+          .m_ends = GetList<core::fleet::RunEnded>(in.getEnds()),
+          .m_crashed = GetList<core::fleet::CrashedRun>(in.getCrashed())};
 }
 
 void Put(schema::fleet::AgentReportReply::Builder out, const core::fleet::AgentReportReply& in) {
@@ -231,6 +249,7 @@
   out.setRecordedEnd(in.m_recorded_end);
   out.setWorkerBorn(in.m_worker_born);
   PutList(out.initPairs(ListSize(in.m_pairs)), in.m_pairs);
+  out.setRecordedCrash(in.m_recorded_crash);
 }
 
 core::fleet::AgentReportReply Get(const schema::fleet::AgentReportReply::Reader in) {
@@ -241,7 +260,8 @@
           .m_grant = core::Duration{in.getGrantUs()},
           .m_recorded_end = in.getRecordedEnd(),
           .m_worker_born = in.getWorkerBorn(),
-          .m_pairs = GetList<core::fleet::ImagePair>(in.getPairs())};
+          .m_pairs = GetList<core::fleet::ImagePair>(in.getPairs()),
+          .m_recorded_crash = in.getRecordedCrash()};
 }
 
 void Put(schema::fleet::Order::Builder out, const core::fleet::Order& in) {
@@ -352,6 +372,7 @@
   out.setFailures(in.m_failures);
   out.setRun(in.m_run);
   out.setCheckpoint(PutData(in.m_checkpoint));
+  PutNumbers<core::fleet::RunNumber>(out.initCrashes(ListSize(in.m_crashes)), in.m_crashes);
 }
 
 core::fleet::TaskProgress Get(const schema::fleet::TaskProgress::Reader in) {
@@ -361,7 +382,8 @@
           .m_done = in.getDone(),
           .m_failures = in.getFailures(),
           .m_run = in.getRun(),
-          .m_checkpoint = GetData(in.getCheckpoint())};
+          .m_checkpoint = GetData(in.getCheckpoint()),
+          .m_crashes = GetNumbers<core::fleet::RunNumber>(in.getCrashes())};
 }
 
 void Put(schema::fleet::JobProgress::Builder out, const core::fleet::JobProgress& in) {
@@ -371,7 +393,8 @@
   out.setPhase(static_cast<std::uint8_t>(in.m_phase));
   out.setClosedAt(in.m_closed_at);
   out.setBegun(in.m_begun);
-  PutNumbers(out.initClosedOccurrences(ListSize(in.m_closed_occurrences)), in.m_closed_occurrences);
+  PutNumbers<std::uint32_t>(out.initClosedOccurrences(ListSize(in.m_closed_occurrences)),
+                            in.m_closed_occurrences);
   PutList(out.initTasks(ListSize(in.m_tasks)), in.m_tasks);
 }
 
@@ -382,7 +405,7 @@
           .m_phase = GetEnum(in.getPhase(), core::fleet::JobPhase::kCancelled),
           .m_closed_at = in.getClosedAt(),
           .m_begun = in.getBegun(),
-          .m_closed_occurrences = GetNumbers(in.getClosedOccurrences()),
+          .m_closed_occurrences = GetNumbers<std::uint32_t>(in.getClosedOccurrences()),
           .m_tasks = GetList<core::fleet::TaskProgress>(in.getTasks())};
 }
 
--- a/packages/wire/src/fleet_convert.h
+++ b/packages/wire/src/fleet_convert.h
@@ -23,6 +23,8 @@
 [[nodiscard]] core::fleet::ImagePair Get(schema::fleet::ImagePair::Reader in);
 void Put(schema::fleet::RunEnded::Builder out, const core::fleet::RunEnded& in);
 [[nodiscard]] core::fleet::RunEnded Get(schema::fleet::RunEnded::Reader in);
+void Put(schema::fleet::CrashedRun::Builder out, const core::fleet::CrashedRun& in);
+[[nodiscard]] core::fleet::CrashedRun Get(schema::fleet::CrashedRun::Reader in);
 void Put(schema::fleet::AgentReport::Builder out, const core::fleet::AgentReport& in);
 [[nodiscard]] core::fleet::AgentReport Get(schema::fleet::AgentReport::Reader in);
 void Put(schema::fleet::AgentReportReply::Builder out, const core::fleet::AgentReportReply& in);
--- a/packages/wire/tests/samples.cc
+++ b/packages/wire/tests/samples.cc
@@ -105,7 +105,8 @@
                        .m_done = true,
                        .m_failures = 2,
                        .m_run = 5,
-                       .m_checkpoint = "c"}}};
+                       .m_checkpoint = "c",
+                       .m_crashes = {3, 4}}}};
 }
 
 std::vector<core::Message> SampleMessages() {
@@ -213,7 +214,11 @@
                       .m_task = kTask,
                       .m_run = 14,
                       .m_outcome = fleet::RunOutcome::kBroken,
-                      .m_checkpoint = "d"}}},
+                      .m_checkpoint = "d"}},
+          .m_crashed = {{.m_born = 6,
+                         .m_task = kTask,
+                         .m_run = 15,
+                         .m_age = std::chrono::milliseconds{700}}}},
       fleet::AgentReportReply{
           .m_accepted = true,
           .m_epoch = 1,
@@ -222,7 +227,8 @@
           .m_grant = std::chrono::seconds{5},
           .m_recorded_end = 3,
           .m_worker_born = 4,
-          .m_pairs = {{.m_serving = {"s"}, .m_filling = {"f"}, .m_growth = 0.5, .m_idle_ms = 4.0}}},
+          .m_pairs = {{.m_serving = {"s"}, .m_filling = {"f"}, .m_growth = 0.5, .m_idle_ms = 4.0}},
+          .m_recorded_crash = 6},
       fleet::AgentOrders{.m_epoch = 1,
                          .m_coordinator = "127.0.0.1:4",
                          .m_session = 2,
