Add a failing test for a task that crashes its workers

The replay crashes each worker that starts the task; on this code the task is started again until the replay ends.

--- /dev/null
+++ b/packages/core/tests/fleet/crash_test.cc
@@ -0,0 +1,198 @@
+/// Replays of tasks that crash the workers that start them.
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet_fixture.h"
+
+namespace ebonypin::core::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> kAgents{"a", "b", "c", "d", "e", "f"};
+constexpr auto kStep = 50ms;
+constexpr auto kAway = 3s;
+constexpr auto kRunTime = 800ms;
+
+/// Site whose workers crash when they have started one of some tasks, and are back three seconds
+/// later with another process.
+class CrashSite : public Site {
+ public:
+  std::set<TaskRef> m_deadly;
+  std::map<TaskRef, int> m_crashes;             ///< Workers that crashed with the task at work.
+  std::map<TaskRef, int> m_starts;              ///< Starts of the task.
+  std::map<TaskRef, int> m_starts_after_three;  ///< Starts after three workers had crashed.
+
+  CrashSite() {
+    for (const auto& agent : kAgents) {
+      (void)ReportInNewSession(ReportOf(agent));
+      Write();
+      Exchange(agent);
+    }
+  }
+
+  /// Workers crash, come back and end runs, agents report, and the coordinator plans.
+  void Step() {
+    Advance(kStep);
+    for (const auto& agent : kAgents) StepWorker(agent);
+    Write();
+    Tick(m_state, m_now, m_wall);
+    for (const auto& [agent, start] : Starts()) {
+      const TaskRef& task = start.m_task;
+      m_workers[agent].m_runs[task] = {.m_run = start.m_run, .m_started = m_now};
+      ++m_starts[task];
+      if (m_crashes[task] >= 3) ++m_starts_after_three[task];
+    }
+    for (auto& [id, agent] : m_state.m_agents) {
+      for (const auto& order : agent.m_orders) {
+        if (order.m_kind == OrderKind::kStop)
+          m_workers[id.m_value].m_runs.erase(order.m_start.m_task);
+      }
+      OnOrdersTaken(m_state, id, agent.m_session, agent.m_next_order - 1);
+    }
+    Write();
+  }
+
+  void StepFor(const Duration time) {
+    for (const Time until = m_now + time; m_now < until;) Step();
+  }
+
+  /// Replaces the coordinator by one that knows only what is stored.
+  void TakeOver() {
+    Coordinator next{.m_epoch = m_state.m_epoch + 1, .m_rpc_address = "c"};
+    for (const auto& [id, job] : m_state.m_jobs) Restore(next, m_now, job.m_spec);
+    for (const auto& [id, progress] : m_progress) Restore(next, progress);
+    FinishRestore(next, m_now, m_now);
+    m_state = std::move(next);
+    for (const auto& agent : kAgents) (void)ReportInNewSession(ReportOf(agent));
+    Write();
+  }
+
+  void Write() {
+    const auto batch = TakeWrites(m_state, m_wall);
+    for (const auto& record : batch.m_records) {
+      const auto* const progress = std::get_if<JobProgress>(&record);
+      if (progress != nullptr) m_progress[progress->m_job] = *progress;
+    }
+    OnWritten(m_state, batch);
+  }
+
+ private:
+  struct WorkerRun {
+    RunNumber m_run = 0;
+    Time m_started;
+  };
+  struct Worker {
+    std::int64_t m_born = 7;
+    Time m_back;
+    std::map<TaskRef, WorkerRun> m_runs;  ///< After a crash: those that were lost.
+    std::vector<CrashedRun> m_lost;
+    std::vector<CrashedRun> m_crashed;
+    std::vector<RunEnded> m_ends;
+    std::uint64_t m_last_end = 0;
+  };
+
+  AgentReport ReportOf(const std::string& agent) {
+    const Worker& worker = m_workers[agent];
+    auto report = Report(agent);
+    report.m_worker.m_born = worker.m_born;
+    report.m_worker.m_id = {"w-" + agent + std::to_string(worker.m_born)};
+    report.m_worker.m_reachable = m_now >= worker.m_back;
+    report.m_ends = worker.m_ends;
+    report.m_crashed = worker.m_crashed;
+    for (const auto& [task, run] : worker.m_runs) {
+      report.m_runs.push_back({.m_task = task, .m_run = run.m_run});
+    }
+    return report;
+  }
+
+  void Exchange(const std::string& agent) {
+    auto report = ReportOf(agent);
+    const auto reply =
+        report.m_session == 0 ? ReportInNewSession(report) : OnReport(m_state, m_now, report);
+    auto& worker = m_workers[agent];
+    std::erase_if(worker.m_crashed,
+                  [&](const auto& run) { return run.m_born <= reply.m_recorded_crash; });
+    if (reply.m_worker_born != worker.m_born) return;
+    std::erase_if(worker.m_ends,
+                  [&](const auto& end) { return end.m_number <= reply.m_recorded_end; });
+  }
+
+  void StepWorker(const std::string& agent) {
+    auto& worker = m_workers[agent];
+    if (m_now >= worker.m_back) {
+      if (!worker.m_lost.empty()) ComeBack(worker);
+      RunTasks(worker);
+    }
+    Exchange(agent);
+  }
+
+  void ComeBack(Worker& worker) {
+    worker.m_crashed.insert(worker.m_crashed.end(), worker.m_lost.begin(), worker.m_lost.end());
+    worker.m_lost.clear();
+    worker.m_runs.clear();
+    worker.m_ends.clear();
+    worker.m_last_end = 0;
+    ++worker.m_born;
+  }
+
+  void RunTasks(Worker& worker) {
+    bool crashes = false;
+    std::vector<TaskRef> done;
+    for (const auto& [task, run] : worker.m_runs) {
+      crashes = crashes || m_deadly.contains(task);
+      const Job& job = m_state.m_jobs.at(task.m_job);
+      const bool lasts = job.m_spec.m_steps[task.m_step].m_long_running;
+      if (!lasts && m_now - run.m_started >= kRunTime) done.push_back(task);
+    }
+    if (crashes) {
+      for (const auto& [task, run] : worker.m_runs) {
+        ++m_crashes[task];
+        worker.m_lost.push_back({.m_born = worker.m_born,
+                                 .m_task = task,
+                                 .m_run = run.m_run,
+                                 .m_age = m_now - run.m_started});
+      }
+      worker.m_back = m_now + kAway;
+      return;
+    }
+    for (const auto& task : done) {
+      worker.m_ends.push_back(
+          {.m_number = ++worker.m_last_end, .m_task = task, .m_run = worker.m_runs[task].m_run});
+      worker.m_runs.erase(task);
+    }
+  }
+
+  std::map<std::string, Worker> m_workers;
+  std::map<JobId, JobProgress> m_progress;
+};
+
+class CrashTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashTest);
+  CPPUNIT_TEST(ATaskThatCrashesItsWorkersIsGivenUp);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against a task that crashes one worker after the other, with everything that runs
+  /// there.
+  void ATaskThatCrashesItsWorkersIsGivenUp() {
+    CrashSite site;
+    site.m_deadly = {Ref("deadly")};
+    site.Accept(MakeJob("deadly", 2));
+    site.StepFor(30s);
+    CPPUNIT_ASSERT(site.PhaseOf("deadly") == JobPhase::kFailed);
+    CPPUNIT_ASSERT(site.m_crashes[Ref("deadly")] >= 2);
+    CPPUNIT_ASSERT(site.m_starts_after_three[Ref("deadly")] < 3);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
+
+}  // namespace
+}  // namespace ebonypin::core::fleet
