Give up a task that crashes the workers that start it

Callers of other jobs saw their work lost again and again: a task that crashes each worker that starts it was placed without any limit, together with the other tasks of its step, because Attempts counts only the runs that a worker lists as failed, and a run that is lost with its worker has no such end.

The coordinator now counts the crashes of a task in its stored progress and closes the job as failed at the second crash if no other run there was started as shortly before, and at the third in any case. Which run is the cause is not known after the first crash, so each one that was at most 500 ms old is a suspect. Suspects are started on separate workers, preferably emptier ones and such where nothing was just started, and other tasks avoid these workers for that time. A suspect that makes progress for a second, or ends by itself, is cleared and its count is dropped; a task that was at work for longer when its worker crashed is none.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -58,8 +58,11 @@
   /// zero.
   Duration m_filling_stall_limit = std::chrono::seconds{10};
   /// Age up to which a run may be the cause of its worker's crash. Tasks that crash their workers
-  /// do so within some 10 ms of their start; an agent notices it within 120 ms.
+  /// do so within some 10 ms of their start; the agent notices it with its next hold call.
   Duration m_crash_window = std::chrono::milliseconds{500};
+  /// Time after its placement from which a run that makes progress is no suspect any more: the
+  /// crash window and the interval between two reports.
+  Duration m_crash_probation = std::chrono::milliseconds{1000};
   /// Interval between two updates of the interference model from one worker's figures, which cover
   /// half a second.
   Duration m_learn_interval = std::chrono::milliseconds{450};
@@ -144,6 +147,7 @@
   std::vector<RunNumber> m_ended;  ///< Runs whose ends were processed in this epoch.
   std::uint32_t m_failures = 0;
   std::vector<RunNumber> m_crashes;  ///< Runs that crashed their worker, or may have.
+  bool m_suspect = false;            ///< It has such runs, and none that went on afterwards.
   std::uint32_t m_percent = 0;       ///< Progress of the current run.
   std::uint32_t m_stalls = 0;        ///< Runs that were stopped because they made no progress.
   bool m_stopping = false;           ///< A stop of the current run was ordered.
@@ -223,6 +227,7 @@
   Duration m_latency_target{};
   double m_load = 0.0;      ///< Own load of a serving run; zero: not known.
   bool m_stopping = false;  ///< A stop was ordered.
+  bool m_suspect = false;   ///< The task may be the one that crashes its workers.
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
 
@@ -248,6 +253,8 @@
   std::vector<TaskRef> m_strays;
   std::size_t m_serving = 0;  ///< Number of serving tasks placed there.
   std::int64_t m_serving_cpu_millis = 0;
+  std::size_t m_suspects = 0;         ///< Number of placed runs of suspects.
+  Time m_last_start;                  ///< When a run was last placed there.
   std::int64_t m_ends_born = 0;       ///< Incarnation of the worker that the next three refer to.
   std::uint64_t m_ends_seen = 0;      ///< Highest number of a reported end.
   std::uint64_t m_ends_taken = 0;     ///< Ends up to this number were handed out by TakeWrites.
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -67,9 +67,10 @@
 
 /// Number of workers passed over in a choice, by reason.
 struct PassedOver {
-  std::size_t m_ineligible = 0;   ///< Not ready, of another service, or without the label.
-  std::size_t m_full = 0;         ///< No room.
-  std::size_t m_small_share = 0;  ///< Expected share of the filling task is too small.
+  std::size_t m_ineligible = 0;    ///< Not ready, of another service, or without the label.
+  std::size_t m_full = 0;          ///< No room.
+  std::size_t m_small_share = 0;   ///< Expected share of the filling task is too small.
+  std::size_t m_on_probation = 0;  ///< Runs another task that may crash its workers.
 
   friend bool operator==(const PassedOver&, const PassedOver&) = default;
 };
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -22,6 +22,7 @@
     size.m_cpu_millis = 0;
   }
   agent.m_used = sign > 0 ? agent.m_used + size : agent.m_used - size;
+  if (run.m_suspect) agent.m_suspects += static_cast<std::size_t>(sign);
   if (!run.m_serving) return;
   agent.m_serving += static_cast<std::size_t>(sign);
   agent.m_serving_cpu_millis += sign * run.m_size.m_cpu_millis;
@@ -104,6 +105,10 @@
     task->m_progressed = now;
   }
   if (!run.m_checkpoint.empty()) task->m_checkpoint = run.m_checkpoint;
+  const bool works = agent.m_worker.m_reachable && (run.m_percent > 0 || run.m_figure > 0.0);
+  if (works && now - task->m_placed >= state.m_options.m_crash_probation) {
+    ClearSuspicion(state, run.m_task, *task);
+  }
   UpdateSlowSince(state, now, run, job->m_spec.m_steps[run.m_task.m_step], *task);
   if (!run.m_order_known) DescribeRun(agent, *job, run.m_task, *task);
   if (job->m_closed) OrderStop(state, run.m_task, *task, "its job is closed");
@@ -154,23 +159,14 @@
   }
 }
 
-void OnCrashes(Coordinator& state, Agent& agent, const AgentReport& report) {
-  for (const auto& run : report.m_crashed) {
-    if (run.m_born <= agent.m_crash_seen) continue;
-    OnCrash(state, agent, run);
-  }
-  for (const auto& run : report.m_crashed) {
-    agent.m_crash_seen = std::max(agent.m_crash_seen, run.m_born);
-  }
-}
-
 }  // namespace
 
 void AddPlacedRun(Coordinator& state, Agent& agent, const TaskRef& ref, Task& task) {
   task.m_phase = TaskPhase::kPlaced;
   task.m_stopping = false;
   task.m_slow_since = {};
-  const auto run = MakePlacedRun(state, ref);
+  auto run = MakePlacedRun(state, ref);
+  run.m_suspect = task.m_suspect;
   Count(agent, run, 1);
   agent.m_placed_runs.emplace(ref, run);
 }
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -61,9 +61,15 @@
 /// Handles the end of a run. Repeated ends have no effect.
 void OnEnd(Coordinator& state, Time now, Agent& agent, const RunEnded& end);
 
-/// Counts the crash of a worker for a task that was started there just before. Repeated reports
-/// have no effect.
-void OnCrash(Coordinator& state, const Agent& agent, const CrashedRun& run);
+/// Closes a job as failed because of a run, and stops its runs.
+void FailJob(Coordinator& state, Job& job, const TaskRef& ref, RunNumber run, const AgentId& agent,
+             const std::string& reason);
+
+/// Handles the crashes in an agent's report. Repeated reports have no effect.
+void OnCrashes(Coordinator& state, Agent& agent, const AgentReport& report);
+
+/// Ends the suspicion against a task whose current run has not crashed its worker.
+void ClearSuspicion(Coordinator& state, const TaskRef& ref, Task& task);
 
 /// Handles a run that is gone without a reported end.
 void OnLost(Coordinator& state, Time now, const TaskRef& ref, Task& task, std::string reason);
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -128,10 +128,8 @@
     LogFailure(state, "worker put aside", end.m_task, end.m_run, failed_on, "its runs fail");
   }
   if (spec.m_long_running || task.m_failures < job.m_spec.m_policy.m_attempts) return;
-  LogFailure(state, "job failed", end.m_task, end.m_run, failed_on,
-             std::to_string(task.m_failures) + " failed attempts");
-  Close(state, job, JobPhase::kFailed);
-  StopJob(state, job, "job failed");
+  FailJob(state, job, end.m_task, end.m_run, failed_on,
+          std::to_string(task.m_failures) + " failed attempts");
 }
 
 /// Adds the time of the task's current run, which has ended but is still placed.
@@ -198,6 +196,13 @@
   }
 }
 
+void FailJob(Coordinator& state, Job& job, const TaskRef& ref, const RunNumber run,
+             const AgentId& agent, const std::string& reason) {
+  LogFailure(state, "job failed", ref, run, agent, reason);
+  Close(state, job, JobPhase::kFailed);
+  StopJob(state, job, "job failed");
+}
+
 void OnLost(Coordinator& state, const Time now, const TaskRef& ref, Task& task,
             std::string reason) {
   ++state.m_counters.m_lost;
@@ -232,6 +237,8 @@
   if (job->m_closed) return;
   job->m_begun = true;
   state.m_unwritten_progress.insert(job->m_spec.m_id);
+  const bool own_end = end.m_outcome == RunOutcome::kDone || end.m_outcome == RunOutcome::kFailed;
+  if (newest && own_end) ClearSuspicion(state, end.m_task, *task);
   switch (end.m_outcome) {
     case RunOutcome::kDone:
       ++state.m_counters.m_done;
@@ -256,20 +263,6 @@
   }
 }
 
-void OnCrash(Coordinator& state, const Agent& agent, const CrashedRun& run) {
-  Job* const job = FindJob(state, run.m_task.m_job);
-  Task* const task = FindTask(state, run.m_task);
-  if (task == nullptr || task->m_phase == TaskPhase::kDone || job->m_closed) return;
-  if (run.m_age > state.m_options.m_crash_window) return;
-  auto& crashes = task->m_crashes;
-  if (std::find(crashes.begin(), crashes.end(), run.m_run) != crashes.end()) return;
-  crashes.push_back(run.m_run);
-  state.m_unwritten_progress.insert(run.m_task.m_job);
-  LogFailure(state, "worker crashed", run.m_task, run.m_run, agent.m_id,
-             "the run was " + std::to_string(run.m_age.count() / 1000) + " ms old; crash " +
-                 std::to_string(crashes.size()) + " soon after a start of this task");
-}
-
 std::optional<JobCallReply> OnCall(Coordinator& state, const Time now, const JobCall& call) {
   Job* const job = FindJob(state, call.m_job.m_id);
   switch (call.m_kind) {
@@ -373,6 +366,7 @@
     task->m_failures = stored.m_failures;
     task->m_checkpoint = std::move(stored.m_checkpoint);
     task->m_crashes = std::move(stored.m_crashes);
+    task->m_suspect = !task->m_crashes.empty();
     if (stored.m_done) Finish(state, *job, ref, *task);
   }
 }
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -106,7 +106,7 @@
   ++timing.m_runs;
   task.m_run = run;
   task.m_agent = agent.m_id;
-  task.m_placed = task.m_progressed = now;
+  task.m_placed = task.m_progressed = agent.m_last_start = now;
   Order order{.m_number = agent.m_next_order++};
   order.m_start = OrderFor(need.m_job, need.m_ref, task);
   const auto ticket = need.m_step.m_tickets.find(agent.m_worker.m_id);
@@ -166,6 +166,7 @@
               std::to_string(waiting) +
                   " tasks; workers passed over: " + std::to_string(passed_over.m_full) + " full, " +
                   std::to_string(passed_over.m_small_share) + " with too small a share, " +
+                  std::to_string(passed_over.m_on_probation) + " with a suspect, " +
                   std::to_string(passed_over.m_ineligible) + " not eligible");
 }
 
@@ -203,9 +204,10 @@
         step.m_blocked_until = now + state.m_options.m_blocked_delay;
         step.m_blocked_at = state.m_workers_added;
       }
-      // The tasks of a step are alike, so the others find no worker either. Only a task that has
-      // failed before may differ, because it may have failed on the only workers with room.
-      if (task.m_failed_on.empty()) break;
+      // The tasks of a step are alike, so the others find no worker either. A task that has failed
+      // before may differ, because it may have failed on the only workers with room, and a suspect
+      // is kept apart from other suspects.
+      if (task.m_failed_on.empty() && !task.m_suspect) break;
       continue;
     }
     Start(state, now, *agent, need, job, task, NextRun(state, task.m_run));
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -12,6 +12,8 @@
 // committed share of a worker, 0 to 1.
 constexpr double kFailedThereCost = 1000.0;  // The task failed on this worker before.
 constexpr double kPausedCost = 200.0;        // Paused: used only when there is no other worker.
+constexpr double kSuspectCost = 50.0;        // Another run may be the one that crashes the worker.
+constexpr double kExposedCost = 10.0;        // For a full worker that a suspect may crash.
 constexpr double kRackCost = 4.0;            // On another rack than the data or the gang.
 constexpr double kOtherImageCost = 0.3;      // Runs serving tasks of other images.
 constexpr double kRoomCost = 0.3;            // For each processor of room for filling tasks.
@@ -88,6 +90,11 @@
     cost += kFailedThereCost;
   }
   if (IsPaused(agent.m_health, now)) cost += kPausedCost;
+  if (agent.m_suspects > 0) cost += kSuspectCost;
+  if (need.m_task.m_suspect) {
+    if (now - agent.m_last_start < need.m_state.m_options.m_crash_window) cost += kSuspectCost;
+    cost += kExposedCost * (CommittedShare(agent) + ShareOf(agent, agent.m_filling_cpu_millis));
+  }
   cost += kSlownessCost * (Slowness(agent.m_health, now, need.m_state.m_options.m_health) - 1.0);
   if (!rack.empty() && agent.m_worker.m_rack != rack) cost += kRackCost;
   if (serving && ServesOtherImages(agent, spec.m_image)) cost += kOtherImageCost;
@@ -241,7 +248,13 @@
       need.m_spec.m_fills && now - need.m_job.m_last_ran < options.m_max_placement_wait;
   Agent* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
+  // The members of a gang have to start together.
+  const bool apart = need.m_task.m_suspect && !need.m_spec.m_gang;
   VisitWorkers(state, need, passed_over, [&](Agent& agent) {
+    if (apart && agent.m_suspects > 0) {
+      ++passed_over.m_on_probation;
+      return true;
+    }
     const auto placement = EstimatePlacement(need, agent, now);
     // Processors that throttled tasks leave unused only help a task that would not be throttled.
     if ((waits || IsOversubscribed(need, agent)) && placement.m_share < options.m_min_share) {
--- a/packages/core/tests/fleet/crash_test.cc
+++ b/packages/core/tests/fleet/crash_test.cc
@@ -107,7 +107,8 @@
     report.m_ends = worker.m_ends;
     report.m_crashed = worker.m_crashed;
     for (const auto& [task, run] : worker.m_runs) {
-      report.m_runs.push_back({.m_task = task, .m_run = run.m_run});
+      const bool works = m_now > run.m_started && m_now >= worker.m_back;
+      report.m_runs.push_back({.m_task = task, .m_run = run.m_run, .m_percent = works ? 1U : 0U});
     }
     return report;
   }
@@ -176,6 +177,13 @@
 class CrashTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashTest);
   CPPUNIT_TEST(ATaskThatCrashesItsWorkersIsGivenUp);
+  CPPUNIT_TEST(InnocentTasksBesideADeadlyOneEndDone);
+  CPPUNIT_TEST(ACrashCountSurvivesATakeover);
+  CPPUNIT_TEST(ATaskThatHasBeenAtWorkIsNoSuspect);
+  CPPUNIT_TEST(ASuspectThatGoesOnIsCleared);
+  CPPUNIT_TEST(SuspectsAreStartedApart);
+  CPPUNIT_TEST(AGangOfSuspectsIsStarted);
+  CPPUNIT_TEST(OnlyTasksThatCrashWorkersAreGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -190,6 +198,156 @@
     CPPUNIT_ASSERT(site.m_crashes[Ref("deadly")] >= 2);
     CPPUNIT_ASSERT(site.m_starts_after_three[Ref("deadly")] < 3);
   }
+
+  /// Guards against jobs that are shown as failed because their tasks shared a worker with one that
+  /// crashes it.
+  void InnocentTasksBesideADeadlyOneEndDone() {
+    CrashSite site;
+    site.m_deadly = {Ref("deadly")};
+    site.Accept(MakeJob("innocent", 8));
+    site.Accept(MakeJob("deadly", 4));
+    site.Accept(MakeJob("other", 8));
+    site.StepFor(30s);
+    CPPUNIT_ASSERT(site.PhaseOf("deadly") == JobPhase::kFailed);
+    CPPUNIT_ASSERT_EQUAL(2, site.m_crashes[Ref("deadly")]);
+    CPPUNIT_ASSERT(site.PhaseOf("innocent") == JobPhase::kDone);
+    CPPUNIT_ASSERT(site.PhaseOf("other") == JobPhase::kDone);
+  }
+
+  /// Guards against a count that begins at zero with each coordinator.
+  void ACrashCountSurvivesATakeover() {
+    CrashSite site;
+    site.m_deadly = {Ref("deadly")};
+    site.Accept(MakeJob("deadly"));
+    for (int i = 0; i < 4; ++i) {
+      site.StepFor(kAway + 1s);
+      site.TakeOver();
+    }
+    site.StepFor(10s);
+    CPPUNIT_ASSERT(site.PhaseOf("deadly") == JobPhase::kFailed);
+    CPPUNIT_ASSERT_EQUAL(2, site.m_starts[Ref("deadly")]);
+  }
+
+  /// Guards against a serving task that is given up because others crash its worker.
+  void ATaskThatHasBeenAtWorkIsNoSuspect() {
+    CrashSite site;
+    site.Accept(MakeServingJob("serving", 6, {"search"}));
+    site.StepFor(10s);
+    for (int i = 0; i < 4; ++i) {
+      const auto id = "deadly-" + std::to_string(i);
+      site.m_deadly.insert(Ref(id));
+      site.Accept(MakeJob(id));
+      site.StepFor(15s);
+      CPPUNIT_ASSERT(site.PhaseOf(id) == JobPhase::kFailed);
+    }
+    int crashes = 0;
+    for (std::uint32_t i = 0; i < 6; ++i) crashes += site.m_crashes[Ref("serving", i)];
+    CPPUNIT_ASSERT(crashes > 0);
+    CPPUNIT_ASSERT(site.PhaseOf("serving") != JobPhase::kFailed);
+    for (const auto& task :
+         site.m_state.m_jobs.at({"serving"}).m_occurrences.at(0).m_steps[0].m_tasks)
+      CPPUNIT_ASSERT(task.m_crashes.empty());
+  }
+
+  /// Guards against a count that adds up over unrelated crashes in the life of a task.
+  void ASuspectThatGoesOnIsCleared() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeServingJob("serving", 1, {"search"}));
+    (void)site.Starts();
+    auto report = site.Report("a");
+    report.m_crashed = {{.m_born = 6, .m_task = Ref("serving"), .m_run = 1, .m_age = 20ms}};
+    (void)OnReport(site.m_state, site.m_now, report);
+    site.Advance(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    const auto& task =
+        site.m_state.m_jobs.at({"serving"}).m_occurrences.at(0).m_steps[0].m_tasks[0];
+    const auto report_run = [&](const std::uint32_t percent) {
+      auto next = site.Report("a");
+      next.m_runs = {{.m_task = Ref("serving"), .m_run = 2, .m_percent = percent}};
+      (void)OnReport(site.m_state, site.m_now, next);
+    };
+    site.Advance(2s);
+    report_run(0);
+    CPPUNIT_ASSERT(task.m_suspect);
+    report_run(1);
+    CPPUNIT_ASSERT(!task.m_suspect && task.m_crashes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, site.m_state.m_agents.at({"a"}).m_suspects);
+  }
+
+  /// Guards against suspects that crash the next worker together, so that no crash names the cause.
+  void SuspectsAreStartedApart() {
+    Site site;
+    for (const auto* const agent : {"a", "b", "c"}) site.Join(agent);
+    site.Accept(MakeJob("j", 4));
+    std::map<std::string, std::vector<CrashedRun>> crashed;
+    for (const auto& [agent, start] : site.Starts()) {
+      crashed[agent].push_back({.m_born = 6, .m_task = start.m_task, .m_run = 1, .m_age = 20ms});
+    }
+    for (const auto& [agent, runs] : crashed) {
+      auto report = site.Report(agent);
+      report.m_crashed = runs;
+      (void)OnReport(site.m_state, site.m_now, report);
+    }
+    site.Advance(200ms);
+    std::set<std::string> agents;
+    const auto starts = site.Starts();
+    for (const auto& [agent, start] : starts) agents.insert(agent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, agents.size());
+  }
+
+  /// Guards against a gang that waits for ever because its members are more than the workers.
+  void AGangOfSuspectsIsStarted() {
+    Site site;
+    site.Join("a");
+    JobSpec job = MakeJob("gang", 3);
+    job.m_steps[0].m_gang = true;
+    site.Accept(job);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, site.Starts().size());
+    auto report = site.Report("a");
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      report.m_crashed.push_back(
+          {.m_born = 6, .m_task = Ref("gang", i), .m_run = 1, .m_age = 20ms});
+    }
+    (void)OnReport(site.m_state, site.m_now, report);
+    site.Advance(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, site.Starts().size());
+  }
+
+  /// Guards against starts beyond the limit, and against innocent jobs that are given up, whichever
+  /// tasks crash their workers and whenever the coordinator changes.
+  void OnlyTasksThatCrashWorkersAreGivenUp() {
+    CPPUNIT_ASSERT(rc::check("only tasks that crash workers are given up", [] {
+      CrashSite site;
+      const auto jobs = *rc::gen::inRange(2, 12);
+      for (int i = 0; i < jobs; ++i) {
+        const auto id = "j" + std::to_string(i);
+        const auto tasks = *rc::gen::inRange<std::uint32_t>(1, 7);
+        if (*rc::gen::inRange(0, 5) == 0) {
+          site.m_deadly.insert(Ref(id, *rc::gen::inRange<std::uint32_t>(0, tasks)));
+        }
+        site.Accept(MakeJob(id, tasks));
+        site.StepFor(*rc::gen::inRange(0, 10) * 100ms);
+        if (*rc::gen::inRange(0, 8) == 0) site.TakeOver();
+      }
+      site.StepFor(60s);
+      for (int i = 0; i < jobs; ++i) {
+        const auto id = "j" + std::to_string(i);
+        bool deadly = false;
+        int most = 0;
+        for (std::uint32_t task = 0; task < 7; ++task) {
+          deadly = deadly || site.m_deadly.contains(Ref(id, task));
+          most = std::max(most, site.m_crashes[Ref(id, task)]);
+          RC_ASSERT(site.m_starts_after_three[Ref(id, task)] < 3);
+        }
+        const bool failed = site.PhaseOf(id) == JobPhase::kFailed;
+        if (deadly) RC_ASSERT(failed);
+        if (!deadly && failed) RC_ASSERT(most >= 2);
+        if (!deadly && !failed) RC_ASSERT(site.PhaseOf(id) == JobPhase::kDone);
+      }
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
