--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -128,10 +128,8 @@
     LogFailure(state, "worker put aside", end.m_task, end.m_run, failed_on, "its runs fail");
   }
   if (spec.m_long_running || task.m_failures < job.m_spec.m_policy.m_attempts) return;
-  LogFailure(state, "job failed", end.m_task, end.m_run, failed_on,
-             std::to_string(task.m_failures) + " failed attempts");
-  Close(state, job, JobPhase::kFailed);
-  StopJob(state, job, "job failed");
+  FailJob(state, job, end.m_task, end.m_run, failed_on,
+          std::to_string(task.m_failures) + " failed attempts");
 }
 
 /// Adds the time of the task's current run, which has ended but is still placed.
@@ -198,6 +196,13 @@
   }
 }
 
+void FailJob(Coordinator& state, Job& job, const TaskRef& ref, const RunNumber run,
+             const AgentId& agent, const std::string& reason) {
+  LogFailure(state, "job failed", ref, run, agent, reason);
+  Close(state, job, JobPhase::kFailed);
+  StopJob(state, job, "job failed");
+}
+
 void OnLost(Coordinator& state, const Time now, const TaskRef& ref, Task& task,
             std::string reason) {
   ++state.m_counters.m_lost;
@@ -232,6 +237,8 @@
   if (job->m_closed) return;
   job->m_begun = true;
   state.m_unwritten_progress.insert(job->m_spec.m_id);
+  const bool own_end = end.m_outcome == RunOutcome::kDone || end.m_outcome == RunOutcome::kFailed;
+  if (newest && own_end) ClearSuspicion(state, end.m_task, *task);
   switch (end.m_outcome) {
     case RunOutcome::kDone:
       ++state.m_counters.m_done;
@@ -358,6 +365,8 @@
     task->m_run = task->m_recorded_run = stored.m_run;
     task->m_failures = stored.m_failures;
     task->m_checkpoint = std::move(stored.m_checkpoint);
+    task->m_crashes = std::move(stored.m_crashes);
+    task->m_suspect = !task->m_crashes.empty();
     if (stored.m_done) Finish(state, *job, ref, *task);
   }
 }
