Let an incarnation that never answered give way

Another writer's heartbeat with a later start made the agent take that worker for its own. It ignored its own worker from then on and reported its runs lost at once, while they ran on. An incarnation now counts as the worker only after it has answered a hold call, and the leases of the former one count until then.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -149,6 +149,7 @@
 
   WorkerInfo m_worker;           ///< Empty id: no heartbeat yet.
   std::uint64_t m_sequence = 0;  ///< Newest heartbeat of this incarnation.
+  bool m_answered = false;       ///< This incarnation has answered a hold call.
   bool m_runs_known = false;
   Time m_leased_until;          ///< End of all leases given so far, also by earlier agents.
   std::int64_t m_clock_ms = 0;  ///< Worker's clock at `m_clock_at`.
@@ -170,8 +171,8 @@
 /// Initialises an agent that starts at `now`. An earlier agent may have given leases just before.
 void Begin(WorkerAgent& agent, Time now);
 
-/// Handles a heartbeat; delayed heartbeats, also of earlier incarnations, are ignored. Returns
-/// whether it announced a new incarnation of the worker.
+/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has
+/// answered, are ignored. Returns whether it announced a new incarnation of the worker.
 bool OnHeartbeat(WorkerAgent& agent, Time now, const WorkerInfo& worker, std::uint64_t sequence);
 
 [[nodiscard]] AgentOrdersReply OnOrders(WorkerAgent& agent, Time now, const AgentOrders& orders);
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -18,7 +18,7 @@
   agent.m_runs_known = false;
   agent.m_clock_at = {};
   agent.m_sequence = 0;
-  agent.m_leased_until = now;
+  agent.m_answered = false;
   agent.m_missed_since = {};
   // A delayed start for the previous incarnation has an older fence and is refused.
   ++agent.m_fence;
@@ -293,7 +293,9 @@
   const bool first = agent.m_worker.m_id.IsEmpty();
   const bool other_life =
       !first && (worker.m_id != agent.m_worker.m_id || worker.m_born != agent.m_worker.m_born);
-  if (other_life && worker.m_born <= agent.m_worker.m_born) return false;
+  // An incarnation that has not answered yet may be one that another writer has announced. For the
+  // same reason the leases of the former one count until the new one answers.
+  if (other_life && agent.m_answered && worker.m_born <= agent.m_worker.m_born) return false;
   if (!first && !other_life && sequence < agent.m_sequence) return false;
   const bool reachable = agent.m_worker.m_reachable && !other_life;
   const bool draining = agent.m_worker.m_draining;
@@ -419,8 +421,11 @@
   if (answer->m_born > agent.m_worker.m_born) {
     BeginIncarnation(agent, now);
     agent.m_worker.m_born = answer->m_born;
+    agent.m_answered = true;
+    agent.m_leased_until = now;
     return;
   }
+  agent.m_answered = true;
   if (agent.m_hold_fence < agent.m_fence) {
     // The worker may still accept a start that was sent with the former fence.
     agent.m_next_hold = now;
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 namespace ebonypin::core::fleet {
 namespace {
 
@@ -72,6 +74,7 @@
   CPPUNIT_TEST(NoLeaseOutlastsTheGrant);
   CPPUNIT_TEST(ANewIncarnationHasNoRunsAndAHigherFence);
   CPPUNIT_TEST(ALateHeartbeatChangesNothing);
+  CPPUNIT_TEST(AnIncarnationThatNeverAnsweredGivesWay);
   CPPUNIT_TEST(EndsAreKeptUntilTheyAreRecorded);
   CPPUNIT_TEST(ARunOfAnEarlierAgentIsDescribedAndProtected);
   CPPUNIT_TEST(ADescriptionStartsNothing);
@@ -238,6 +241,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string{"w"}, fixture.m_agent.m_worker.m_id.m_value);
   }
 
+  /// Guards against an agent that ignores its worker for ever because another writer has announced
+  /// a later incarnation.
+  void AnIncarnationThatNeverAnsweredGivesWay() {
+    for (const auto* id : {"odd", "w"}) {
+      GrantedAgent fixture;
+      (void)fixture.Order(1, 1);
+      (void)fixture.Hold({{.m_task = kTask, .m_run = 1}});
+      auto odd = fixture.m_worker;
+      odd.m_id = {id};
+      odd.m_born = std::numeric_limits<std::int64_t>::max();
+      (void)OnHeartbeat(fixture.m_agent, fixture.m_now, odd, 1);
+      fixture.m_now += 100ms;
+      (void)NextHold(fixture.m_agent, fixture.m_now);
+      OnHold(fixture.m_agent, fixture.m_now, fixture.m_now, std::nullopt);
+      fixture.m_now += 500ms;
+      // The run may still be there, and must not be started elsewhere.
+      Tick(fixture.m_agent, fixture.m_now);
+      CPPUNIT_ASSERT(!MakeReport(fixture.m_agent, fixture.m_now).m_runs_known);
+      CPPUNIT_ASSERT(OnHeartbeat(fixture.m_agent, fixture.m_now, fixture.m_worker, 2));
+      (void)fixture.Hold({{.m_task = kTask, .m_run = 1}});
+      (void)fixture.Hold({{.m_task = kTask, .m_run = 1}});
+      const auto report = MakeReport(fixture.m_agent, fixture.m_now);
+      CPPUNIT_ASSERT_EQUAL(std::string{"w"}, report.m_worker.m_id.m_value);
+      CPPUNIT_ASSERT(report.m_runs_known && report.m_worker.m_reachable);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.m_runs.size());
+    }
+  }
+
   /// Guards against an end that is acknowledged to the worker before it is recorded.
   void EndsAreKeptUntilTheyAreRecorded() {
     GrantedAgent fixture;
