Check stored jobs and limit open occurrences

A submission with 2^32 occurrences at interval 0 was accepted with 200, and stored jobs were restored unchecked. Both are now checked for indices, sizes, times and counts, and the tasks of all open occurrences of a job are limited.

OddRecordsOfJobsAreIgnored was not run on the code without the fix.

--- a/packages/core/include/ebonypin/core/fleet/job.h
+++ b/packages/core/include/ebonypin/core/fleet/job.h
@@ -99,5 +99,10 @@
 /// Limits of an accepted job; they keep the state of one job below 1 MiB.
 inline constexpr std::uint32_t kMaxSteps = 64;
 inline constexpr std::uint32_t kMaxTasksPerJob = 4096;
+inline constexpr std::uint32_t kMaxOccurrences = 4096;
+/// Longest estimate, target or interval. Sums and multiples of it fit into a Duration.
+inline constexpr Duration kMaxSpan = std::chrono::hours{24 * 365 * 4};
+/// Largest component of the size of a task; the sum over all tasks fits into 64 bits.
+inline constexpr std::int64_t kMaxSize = std::int64_t{1} << 40U;
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/include/ebonypin/core/fleet/queue_table.h
+++ b/packages/core/include/ebonypin/core/fleet/queue_table.h
@@ -37,6 +37,10 @@
 [[nodiscard]] const QueueRoute* FindQueue(const QueueTable& table, std::string_view host,
                                           std::string_view path) noexcept;
 
+/// Returns why the scheduler cannot handle `job`, which may be a record of another writer, or an
+/// empty string if it can.
+[[nodiscard]] std::string CheckSteps(const JobSpec& job);
+
 /// Returns why `job` cannot be accepted, or an empty string if it can.
 [[nodiscard]] std::string CheckJob(const JobSpec& job);
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "coordinator_internal.h"
+#include "ebonypin/core/fleet/queue_table.h"
 
 namespace ebonypin::core::fleet {
 namespace {
@@ -316,6 +317,9 @@
 }
 
 void Restore(Coordinator& state, const Time now, JobSpec job) {
+  if (const auto error = CheckSteps(job); !error.empty()) {
+    return LogFailure(state, "stored job ignored", {.m_job = job.m_id}, 0, {}, error);
+  }
   auto& restored = state.m_jobs[job.m_id];
   restored.m_spec = std::move(job);
   restored.m_accepted = restored.m_last_ran = now;
@@ -343,18 +347,21 @@
     job->m_occurrences.clear();
     return;
   }
+  const std::uint32_t total = std::max(job->m_spec.m_times, 1U);
   for (const auto number : progress.m_closed_occurrences) {
+    if (number >= total) continue;
     job->m_occurrences.erase(number);
     job->m_closed_occurrences.insert(number);
   }
   for (auto& stored : progress.m_tasks) {
+    if (stored.m_occurrence >= total) continue;
     OpenOccurrence(*job, stored.m_occurrence);
     const TaskRef ref{.m_job = progress.m_job,
                       .m_occurrence = stored.m_occurrence,
                       .m_step = stored.m_step,
                       .m_index = stored.m_index};
     Task* const task = FindTask(state, ref);
-    if (task == nullptr) continue;
+    if (task == nullptr || task->m_phase == TaskPhase::kDone) continue;
     task->m_run = task->m_recorded_run = stored.m_run;
     task->m_failures = stored.m_failures;
     task->m_checkpoint = std::move(stored.m_checkpoint);
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -52,9 +52,13 @@
   });
 }
 
-/// Opens the occurrences of scheduled jobs that have become due.
+/// Opens the occurrences of scheduled jobs that have become due. The tasks of all open occurrences
+/// are limited, because each takes memory and a place in the record of the job's progress.
 void OpenDue(Job& job, const WallMillis wall) {
+  std::size_t tasks = 0;
+  for (const auto& step : job.m_spec.m_steps) tasks += step.m_count;
   while (job.m_next_occurrence < job.m_spec.m_times &&
+         (job.m_occurrences.size() + 1) * tasks <= kMaxTasksPerJob &&
          job.m_spec.m_first_due + job.m_next_occurrence * job.m_spec.m_interval_ms <= wall) {
     OpenOccurrence(job, job.m_next_occurrence++);
   }
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -38,9 +38,38 @@
   CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
   CPPUNIT_TEST(RecordedProgressIsRestored);
   CPPUNIT_TEST(TheInterferenceModelOutlivesItsCoordinator);
+  CPPUNIT_TEST(OddRecordsOfJobsAreIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against a record of another writer that ends each coordinator that reads it: an index
+  /// beyond the steps, more tasks than fit into memory, or occurrences that never end.
+  void OddRecordsOfJobsAreIgnored() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    auto beyond = MakeJob("beyond");
+    beyond.m_steps[0].m_after = {1'000'000};
+    Restore(site.m_state, site.m_now, beyond);
+    Restore(site.m_state, site.m_now, MakeJob("huge", 4'000'000'000));
+    auto times = MakeJob("times");
+    times.m_times = 4'000'000'000;
+    Restore(site.m_state, site.m_now, times);
+    Restore(site.m_state, site.m_now, MakeJob("good", 2));
+    Restore(site.m_state, JobProgress{.m_job = {"good"},
+                                      .m_closed_occurrences = {7, 4'000'000'000},
+                                      .m_tasks = {{.m_occurrence = 4'000'000'000, .m_done = true},
+                                                  {.m_index = 9, .m_done = true},
+                                                  {.m_index = 1, .m_done = true},
+                                                  {.m_index = 1, .m_done = true}}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.m_state.m_jobs.size());
+    FinishRestore(site.m_state, site.m_now, site.m_now);
+    Plan(site.m_state, site.m_now, 0);
+    CPPUNIT_ASSERT(site.m_state.m_jobs.at({"times"}).m_occurrences.size() <= kMaxTasksPerJob);
+    const auto& good = site.m_state.m_jobs.at({"good"});
+    CPPUNIT_ASSERT(!good.m_closed);
+    CPPUNIT_ASSERT_EQUAL(1U, good.m_occurrences.at(0).m_steps[0].m_left);
+  }
+
   /// Guards against a second run of a task that still runs at an agent which the new coordinator
   /// cannot reach.
   void InheritedWorkWaitsForSilentMembers() {
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -405,6 +405,12 @@
     CPPUNIT_ASSERT(!CheckJob(circle).empty());
     CPPUNIT_ASSERT(!CheckJob(MakeJob("j", 0)).empty());
     CPPUNIT_ASSERT(!CheckJob(MakeJob("j", kMaxTasksPerJob + 1)).empty());
+    auto many = MakeJob("j");
+    many.m_times = kMaxOccurrences + 1;
+    CPPUNIT_ASSERT(!CheckJob(many).empty());
+    auto endless = MakeJob("j");
+    endless.m_steps[0].m_estimate = Duration::max();
+    CPPUNIT_ASSERT(!CheckJob(endless).empty());
   }
 };
 
