--- a/packages/daemon/src/fleet/topic_watch.cc
+++ b/packages/daemon/src/fleet/topic_watch.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "ebonypin/daemon/events.h"
+
 namespace ebonypin::daemon {
 
 TopicWatch::TopicWatch(std::shared_ptr<EventThread> events, platform::KeyedStore& store,
@@ -42,7 +44,11 @@
     if (!record.m_value.empty()) m_keys.insert(record.m_key);
     m_options.m_on_record(record);
   }
-  if (page.m_more && !page.m_records.empty()) return ReadNewest(page.m_records.back().m_key);
+  if (page.m_unreadable > 0) {
+    LogEvent(kRecordNotDecoded, {{"topic", m_options.m_topic}, {"records", page.m_unreadable}});
+  }
+  // A key that is not after the former one would have the same page read again and again.
+  if (page.m_more && page.m_last_key > after) return ReadNewest(page.m_last_key);
   if (m_options.m_on_all_read) m_options.m_on_all_read(m_keys);
   Follow();
 }
--- a/packages/platform/include/ebonypin/platform/keyed_store.h
+++ b/packages/platform/include/ebonypin/platform/keyed_store.h
@@ -54,8 +54,10 @@
 
 struct NewestPage {
   std::vector<KeyedRecord> m_records;  ///< Ordered by key.
-  bool m_more = false;
+  bool m_more = false;                 ///< The next page begins after `m_last_key`.
+  std::string m_last_key;
   std::uint64_t m_end = 0;
+  std::size_t m_unreadable = 0;  ///< Records left out because they cannot be read.
 };
 
 struct RecordPage {
