Elect a coordinator when the record of the last one is unreadable

Entries gave up each claim for ever when the coordinator record could not be read or held the largest epoch. Such a record is now replaced, with an epoch above all earlier ones, and records under other keys are ignored.

--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -51,6 +51,9 @@
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
 
+/// Largest epoch of a coordinator. Session numbers hold the epoch and 24 bits more.
+inline constexpr Epoch kMaxEpoch = (Epoch{1} << 40U) - 1;
+
 /// Current coordinator.
 struct CoordinatorRecord {
   Epoch m_epoch = 0;
--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -134,24 +134,31 @@
   (void)SendHttp(m_agent_addresses[worker].m_worker, "POST", "/faults", json);
 }
 
-void FleetSite::PutOperatorRecord(const std::string& key, const std::string& text) const {
+HttpResult FleetSite::SendHeartbeat(const std::size_t agent, const std::string& id,
+                                    const std::string& body) const {
+  return SendHttp(m_agent_addresses[agent].m_control, "POST", "/instances/" + id + "/heartbeat",
+                  body);
+}
+
+void FleetSite::PutRecord(const std::string& topic, const std::string& key,
+                          const std::string& value) const {
   auto record = web::json::value::object();
-  record["topic"] = web::json::value::string(platform::GetPlatformPlugin()->m_config_topic);
+  record["topic"] = web::json::value::string(topic);
   record["key"] = web::json::value::string(key);
-  record["value"] = web::json::value::string(text);
+  record["value"] = web::json::value::string(value);
   auto faults = web::json::value::object();
   faults["put"] = std::move(record);
   SetStoreFaults(faults.serialize());
 }
 
 void FleetSite::PutConfig(const int version, const std::string& prefix) const {
-  PutOperatorRecord(platform::GetPlatformPlugin()->m_config_key,
-                    standin::UsersConfig(version, prefix));
+  PutRecord(platform::GetPlatformPlugin()->m_config_topic,
+            platform::GetPlatformPlugin()->m_config_key, standin::UsersConfig(version, prefix));
 }
 
 void FleetSite::SetEvacuation(const std::string& domain, const bool requested) const {
-  PutOperatorRecord(platform::GetPlatformPlugin()->m_evacuation_prefix + domain,
-                    requested ? "{}" : "");
+  PutRecord(platform::GetPlatformPlugin()->m_config_topic,
+            platform::GetPlatformPlugin()->m_evacuation_prefix + domain, requested ? "{}" : "");
 }
 
 bool FleetSite::WaitForEvacuations(const std::size_t entry, const std::size_t count) const {
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -37,6 +37,11 @@
 
   void SetStoreFaults(const std::string& json) const;
   void SetWorkerFaults(std::size_t worker, const std::string& json) const;
+  /// Puts a record into a topic of the store, as another writer may.
+  void PutRecord(const std::string& topic, const std::string& key, const std::string& value) const;
+  /// Sends a heartbeat of the worker `id` with any body to the agent.
+  [[nodiscard]] HttpResult SendHeartbeat(std::size_t agent, const std::string& id,
+                                         const std::string& body) const;
 
   /// Puts a configuration with one queue under the path `prefix` into the store.
   void PutConfig(int version, const std::string& prefix) const;
@@ -70,8 +75,6 @@
     std::string m_worker;
   };
 
-  void PutOperatorRecord(const std::string& key, const std::string& text) const;
-
   std::string m_store_address;
   std::vector<EntryAddresses> m_entry_addresses;
   std::vector<AgentAddresses> m_agent_addresses;
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -1,4 +1,5 @@
 /// Leadership of the coordinator: election, fencing, recovery of the state, and stepping down.
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -32,6 +33,7 @@
 /// with more processors join the group first.
 constexpr double kFirstCheckDelayMsProcessors = 50.0;
 constexpr auto kStepDownDeadline = 500ms;
+constexpr auto kCoordinatorKey = "coordinator";
 }  // namespace
 
 core::fleet::Candidate CoordinatorService::OwnCandidate() const {
@@ -129,14 +131,8 @@
                        events->Post([this, page = std::move(page)] {
                          if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
                          if (!page.Ok()) return BecomeFollower(page.m_error->m_message);
-                         CoordinatorRecord previous;
-                         for (const auto& record : page.m_value->m_records) {
-                           const auto decoded = core::Capture(
-                               [&] { return wire::DecodeCoordinator(record.m_value); });
-                           if (!decoded.Ok()) return BecomeFollower(decoded.m_error->m_message);
-                           previous = *decoded.m_value;
-                         }
-                         Append({.m_epoch = previous.m_epoch + 1,
+                         const auto previous = PreviousClaim(page.m_value->m_records);
+                         Append({.m_epoch = std::max(previous.m_epoch, m_epoch_floor) + 1,
                                  .m_entry = m_options.m_entry,
                                  .m_rpc_address = m_options.m_rpc_address,
                                  .m_incarnation = m_options.m_incarnation},
@@ -145,10 +141,30 @@
                      });
 }
 
+CoordinatorRecord CoordinatorService::PreviousClaim(
+    const std::vector<platform::KeyedRecord>& records) {
+  const auto found = std::find_if(records.begin(), records.end(), [](const auto& record) {
+    return record.m_key == kCoordinatorKey;
+  });
+  if (found == records.end()) return {};
+  const auto decoded = core::Capture([&] { return wire::DecodeCoordinator(found->m_value); });
+  if (decoded.Ok()) return *decoded.m_value;
+  LogEvent(kRecordNotDecoded, {{"key", found->m_key}, {"reason", decoded.m_error->m_message}});
+  RaiseEpochFloor();
+  return {.m_epoch = m_epoch_floor, .m_rpc_address = m_known.m_rpc_address};
+}
+
+void CoordinatorService::RaiseEpochFloor() {
+  // Epochs begin at 1 and rise by one at a change of coordinator, so they stay below the seconds of
+  // the wall clock.
+  const auto seconds = static_cast<core::Epoch>(std::max<core::WallMillis>(WallNow(), 0) / 1000);
+  m_epoch_floor = std::max({m_epoch_floor, m_known.m_epoch, seconds});
+}
+
 void CoordinatorService::Append(const CoordinatorRecord& record, const std::uint64_t at_end,
                                 const CoordinatorRecord& previous) {
   m_store.Append(m_options.m_coordinator_topic,
-                 {{.m_key = "coordinator", .m_value = wire::Encode(record)}},
+                 {{.m_key = kCoordinatorKey, .m_value = wire::Encode(record)}},
                  {.m_expected_end = at_end},
                  [this, events = m_events, record, previous](const platform::AppendReply& reply) {
                    events->Post([this, record, previous, reply] {
@@ -173,6 +189,9 @@
         events->Post([this, previous, sent, reply] {
           if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
           if (reply.m_status != AppendStatus::kAppended) {
+            // The claim was made from a record that another writer has replaced or removed, unless
+            // a later claim was made meanwhile.
+            if (reply.m_status == AppendStatus::kFenced) RaiseEpochFloor();
             return BecomeFollower("fence append failed: " + reply.m_reason);
           }
           m_leadership.m_confirmed = sent;
@@ -189,15 +208,17 @@
 void CoordinatorService::Recover(const std::string& after, const CoordinatorRecord& previous) {
   m_store.ReadNewest(
       m_options.m_jobs_topic, after,
-      [this, events = m_events, previous](core::Captured<platform::NewestPage> page) {
-        events->Post([this, previous, page = std::move(page)] {
+      [this, events = m_events, after, previous](core::Captured<platform::NewestPage> page) {
+        events->Post([this, after, previous, page = std::move(page)] {
           if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
           if (!page.Ok()) return BecomeFollower(page.m_error->m_message);
-          const auto& records = page.m_value->m_records;
-          for (const auto& record : records) Restore(record);
-          if (page.m_value->m_more && !records.empty()) {
-            return Recover(records.back().m_key, previous);
+          const auto& read = *page.m_value;
+          if (read.m_unreadable > 0) {
+            LogEvent(kRecordNotDecoded,
+                     {{"topic", m_options.m_jobs_topic}, {"records", read.m_unreadable}});
           }
+          for (const auto& record : read.m_records) Restore(record);
+          if (read.m_more && read.m_last_key > after) return Recover(read.m_last_key, previous);
           Activate(previous);
         });
       });
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "../event_thread.h"
 #include "ebonypin/core/fleet/append_queue.h"
@@ -109,6 +110,11 @@
   /// Returns the writer identity of the next append. The store refuses appends of earlier epochs.
   [[nodiscard]] platform::StoreWriter Writer(std::uint64_t sequence) const;
   void Claim();
+  /// Returns the newest claim among the records of the topic. The epoch of one that cannot be read
+  /// is replaced by the floor of epochs.
+  core::fleet::CoordinatorRecord PreviousClaim(const std::vector<platform::KeyedRecord>& records);
+  /// Raises the floor of epochs above all epochs used so far.
+  void RaiseEpochFloor();
   void Append(const core::fleet::CoordinatorRecord& record, std::uint64_t at_end,
               const core::fleet::CoordinatorRecord& previous);
   void Fence(const core::fleet::CoordinatorRecord& previous);
@@ -148,6 +154,7 @@
   core::fleet::Coordinator m_state;
   core::fleet::Evacuations m_evacuations;
   KnownCoordinator m_known;
+  core::Epoch m_epoch_floor = 0;  ///< The next claim uses a later epoch.
   /// Renews the group membership on a thread of its own, so that a coordinator with long-running
   /// events does not lose its membership.
   EventThread m_membership_thread;
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -414,6 +414,7 @@
 }
 
 core::fleet::CoordinatorRecord Get(const schema::fleet::CoordinatorRecord::Reader in) {
+  KJ_REQUIRE(in.getEpoch() <= core::fleet::kMaxEpoch, "epoch too large", in.getEpoch());
   return {.m_epoch = in.getEpoch(),
           .m_entry = GetText(in.getEntry()),
           .m_rpc_address = GetText(in.getRpcAddress()),
