Decide to give up a task when it is about to be started again

Two ways in which a job could be closed as failed without cause, found in review:

A coordinator that learns of several crashes at once, because its predecessor does not record them, failed the job at once, also while a later run of the task was working. The decision is now taken when the task is about to be started, so that a run that makes progress clears it first.

An incarnation of a worker that another writer announced counted as a crash of the real one. Crashed runs are now reported once the new incarnation has answered, and dropped if an earlier one answers instead.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -148,6 +148,7 @@
   std::uint32_t m_failures = 0;
   std::vector<RunNumber> m_crashes;  ///< Runs that crashed their worker, or may have.
   bool m_suspect = false;            ///< It has such runs, and none that went on afterwards.
+  bool m_given_up = false;           ///< Not started again: its job fails instead.
   std::uint32_t m_percent = 0;       ///< Progress of the current run.
   std::uint32_t m_stalls = 0;        ///< Runs that were stopped because they made no progress.
   bool m_stopping = false;           ///< A stop of the current run was ordered.
--- a/packages/core/src/fleet/coordinator_crashes.cc
+++ b/packages/core/src/fleet/coordinator_crashes.cc
@@ -34,9 +34,7 @@
              "the run was " + std::to_string(run.m_age.count() / 1000) + " ms old" +
                  (alone ? ", the only one as young" : "") + "; crash " + count +
                  " soon after a start of this task");
-  if (crashes.size() < (alone ? kMaxCrashesAlone : kMaxCrashes)) return;
-  FailJob(state, *job, run.m_task, run.m_run, agent.m_id,
-          count + " workers crashed soon after they had started the task");
+  if (crashes.size() >= (alone ? kMaxCrashesAlone : kMaxCrashes)) task->m_given_up = true;
 }
 
 }  // namespace
@@ -54,9 +52,17 @@
   }
 }
 
+bool FailIfGivenUp(Coordinator& state, Job& job, const TaskRef& ref, const Task& task) {
+  if (!task.m_given_up) return false;
+  FailJob(state, job, ref, task.m_run, task.m_agent,
+          std::to_string(task.m_crashes.size()) +
+              " workers crashed soon after they had started the task");
+  return true;
+}
+
 void ClearSuspicion(Coordinator& state, const TaskRef& ref, Task& task) {
   if (!task.m_suspect) return;
-  task.m_suspect = false;
+  task.m_suspect = task.m_given_up = false;
   task.m_crashes.clear();
   state.m_unwritten_progress.insert(ref.m_job);
   LogDecision(state, "suspicion cleared", ref, task.m_run, task.m_agent,
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -68,6 +68,10 @@
 /// Handles the crashes in an agent's report. Repeated reports have no effect.
 void OnCrashes(Coordinator& state, Agent& agent, const AgentReport& report);
 
+/// Closes the job as failed if its task, which is about to be started, was given up.
+[[nodiscard]] bool FailIfGivenUp(Coordinator& state, Job& job, const TaskRef& ref,
+                                 const Task& task);
+
 /// Ends the suspicion against a task whose current run has not crashed its worker.
 void ClearSuspicion(Coordinator& state, const TaskRef& ref, Task& task);
 
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -194,6 +194,7 @@
                       .m_step = ready.m_step,
                       .m_index = i};
     if (state.m_strays.count(ref) > 0) continue;
+    if (FailIfGivenUp(state, job, ref, task)) break;
     const TaskNeed need{.m_state = state,
                         .m_job = job,
                         .m_spec = spec,
@@ -242,6 +243,7 @@
     const Task& task = step.m_tasks[i];
     if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) return;
     if (state.m_strays.count(ref_of(i)) > 0) return;
+    if (FailIfGivenUp(state, job, ref_of(i), task)) return;
     last = std::max(last, task.m_run);
     // The checkpoint of any member is valid for all members, and they must start from the same one.
     if (!task.m_checkpoint.empty()) checkpoint = task.m_checkpoint;
@@ -378,6 +380,7 @@
   });
   if (serves) RefreshFillingRoom(state, now);
   for (const auto& step : ready) {
+    if (step.m_job->m_closed) continue;
     if (!HasAdvice(state, now, step)) continue;
     if (step.m_job->m_spec.m_steps[step.m_step].m_gang) {
       StartGang(state, now, step);
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -386,7 +386,7 @@
                      .m_runs_known = agent.m_runs_known,
                      .m_worker = agent.m_worker,
                      .m_ends = agent.m_ends,
-                     .m_crashed = agent.m_crashed};
+                     .m_crashed = agent.m_answered ? agent.m_crashed : std::vector<CrashedRun>{}};
   for (const auto& [task, run] : agent.m_runs) {
     report.m_runs.push_back({.m_task = task,
                              .m_run = run.m_order.m_run,
@@ -460,6 +460,9 @@
     return;
   }
   agent.m_answered = true;
+  // An incarnation that answers has not crashed, whatever another writer has announced.
+  std::erase_if(agent.m_crashed,
+                [&](const CrashedRun& run) { return run.m_born >= agent.m_worker.m_born; });
   if (agent.m_hold_fence < agent.m_fence) {
     // The worker may still accept a start that was sent with the former fence.
     agent.m_next_hold = now;
--- a/packages/core/tests/fleet/crash_test.cc
+++ b/packages/core/tests/fleet/crash_test.cc
@@ -181,6 +181,7 @@
   CPPUNIT_TEST(ACrashCountSurvivesATakeover);
   CPPUNIT_TEST(ATaskThatHasBeenAtWorkIsNoSuspect);
   CPPUNIT_TEST(ASuspectThatGoesOnIsCleared);
+  CPPUNIT_TEST(OldCrashesDoNotEndAWorkingRun);
   CPPUNIT_TEST(SuspectsAreStartedApart);
   CPPUNIT_TEST(AGangOfSuspectsIsStarted);
   CPPUNIT_TEST(OnlyTasksThatCrashWorkersAreGivenUp);
@@ -275,6 +276,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, site.m_state.m_agents.at({"a"}).m_suspects);
   }
 
+  /// Guards against a job that fails while its task works well, because a new coordinator learns of
+  /// several earlier crashes at once.
+  void OldCrashesDoNotEndAWorkingRun() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeServingJob("serving", 1, {"search"}));
+    (void)site.Starts();
+    auto report = site.Report("a");
+    report.m_runs = {{.m_task = Ref("serving"), .m_run = 1}};
+    for (std::int64_t born = 4; born < 7; ++born) {
+      report.m_crashed.push_back({.m_born = born,
+                                  .m_task = Ref("serving"),
+                                  .m_run = 100 + static_cast<RunNumber>(born),
+                                  .m_age = 20ms});
+    }
+    (void)OnReport(site.m_state, site.m_now, report);
+    (void)site.Starts();
+    CPPUNIT_ASSERT(site.PhaseOf("serving") != JobPhase::kFailed);
+    site.Advance(2s);
+    report = site.Report("a");
+    report.m_runs = {{.m_task = Ref("serving"), .m_run = 1, .m_percent = 1}};
+    (void)OnReport(site.m_state, site.m_now, report);
+    const auto& job = site.m_state.m_jobs.at({"serving"});
+    CPPUNIT_ASSERT(!job.m_closed);
+    CPPUNIT_ASSERT(!job.m_occurrences.at(0).m_steps[0].m_tasks[0].m_given_up);
+  }
+
   /// Guards against suspects that crash the next worker together, so that no crash names the cause.
   void SuspectsAreStartedApart() {
     Site site;
