Report a changed capacity of a worker at once

Cause: an agent reported a changed capacity with its next periodic report, up to 0.5 s later, so that starts went on beyond a capacity that had shrunk. Change: a changed capacity makes a report due, as a changed state does. Evidence: AChangedCapacityIsReportedAtOnce fails without the change. AWorkerThatShrankGetsNothingBeyondItsRoom passes before and after: what is being stopped counts, and room that shrank is not used. core_tests: 274 pass.

--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -327,12 +327,15 @@
   if (!first && !other_life && sequence < agent.m_sequence) return false;
   const bool reachable = agent.m_worker.m_reachable && !other_life;
   const bool draining = agent.m_worker.m_draining;
+  const Resources capacity = agent.m_worker.m_capacity;
   if (other_life) BeginIncarnation(agent, now);
   agent.m_worker = worker;
   agent.m_worker.m_reachable = reachable;
   agent.m_sequence = sequence;
   if (first) agent.m_next_hold = now;
-  if (first || draining != worker.m_draining) agent.m_report_due = true;
+  if (first || draining != worker.m_draining || capacity != worker.m_capacity) {
+    agent.m_report_due = true;
+  }
   return first || other_life;
 }
 
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -273,6 +273,7 @@
   CPPUNIT_TEST(AStrayRunIsStopped);
   CPPUNIT_TEST(ARunIsLostWhenItsAgentListsAnEarlierOne);
   CPPUNIT_TEST(NoWorkerIsOvercommitted);
+  CPPUNIT_TEST(AWorkerThatShrankGetsNothingBeyondItsRoom);
   CPPUNIT_TEST(AStalledRunIsMoved);
   CPPUNIT_TEST(ATaskThatReportsNoProgressIsGivenTimeToFinish);
   CPPUNIT_TEST(ADrainingWorkerGetsNoTasksAndHandsOverLongRunningOnes);
@@ -525,6 +526,35 @@
 
   /// Guards against losing a long-running task when its worker leaves, and against new starts
   /// there.
+  /// Guards against starts beyond the capacity of a worker that has shrunk, where a run that is
+  /// being stopped still takes its room.
+  void AWorkerThatShrankGetsNothingBeyondItsRoom() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeJob("running", 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.Starts().size());
+    const auto report = [&](const std::int64_t cpu_millis, const std::uint32_t runs) {
+      auto next = site.Report("a");
+      next.m_worker.m_capacity.m_cpu_millis = cpu_millis;
+      for (std::uint32_t i = 0; i < runs; ++i) {
+        next.m_runs.push_back({.m_task = Ref("running", i), .m_run = 1});
+      }
+      (void)OnReport(site.m_state, site.m_now, next);
+    };
+    report(2000, 2);
+    site.Accept(MakeJob("waiting", 2));
+    CPPUNIT_ASSERT(site.Starts().empty());
+    (void)OnCall(site.m_state, site.m_now,
+                 {.m_kind = JobCallKind::kCancel, .m_job = {.m_id = {"running"}}});
+    site.Write();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.Stops().size());
+    CPPUNIT_ASSERT(site.Starts().empty());
+    report(2000, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    report(4000, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+  }
+
   void ADrainingWorkerGetsNoTasksAndHandsOverLongRunningOnes() {
     Site site;
     site.Join("a");
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(ARunOfAnEarlierAgentIsDescribedAndProtected);
   CPPUNIT_TEST(ADescriptionStartsNothing);
   CPPUNIT_TEST(ADrainingWorkerStartsNothing);
+  CPPUNIT_TEST(AChangedCapacityIsReportedAtOnce);
   CPPUNIT_TEST(ALatePaceCallIsCorrected);
   CPPUNIT_TEST(ACrashIsReportedUntilItIsRecorded);
   CPPUNIT_TEST(ARestartBeforeAStartWasSentIsNoCrash);
@@ -204,6 +205,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Crashes());
   }
 
+  /// Guards against starts on a worker whose capacity has shrunk since the last periodic report.
+  void AChangedCapacityIsReportedAtOnce() {
+    GrantedAgent fixture;
+    fixture.m_agent.m_report_due = false;
+    fixture.m_worker.m_capacity.m_cpu_millis = 1000;
+    OnHeartbeat(fixture.m_agent, fixture.m_now, fixture.m_worker, 2);
+    CPPUNIT_ASSERT(fixture.m_agent.m_report_due);
+    CPPUNIT_ASSERT_EQUAL(
+        std::int64_t{1000},
+        MakeReport(fixture.m_agent, fixture.m_now).m_worker.m_capacity.m_cpu_millis);
+  }
+
   /// Guards against orders of a former coordinator.
   void OrdersOfFormerCoordinatorsAndSessionsAreRefused() {
     GrantedAgent fixture;
