--- a/packages/daemon/scenarios/entry_process.cc
+++ b/packages/daemon/scenarios/entry_process.cc
@@ -60,7 +60,8 @@
 
 bool EntryProcess::WaitForEnd(const std::chrono::milliseconds timeout) {
   const auto until = std::chrono::steady_clock::now() + timeout;
-  while (::waitpid(m_pid, nullptr, WNOHANG) == 0) {
+  int status = 0;
+  while (::waitpid(m_pid, &status, WNOHANG) == 0) {
     if (std::chrono::steady_clock::now() >= until) {
       ::kill(m_pid, SIGKILL);
       ::waitpid(m_pid, nullptr, 0);
@@ -70,7 +71,7 @@
     std::this_thread::sleep_for(kWaitPoll);
   }
   m_pid = 0;
-  return true;
+  return WIFEXITED(status) && WEXITSTATUS(status) == 0;
 }
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/scenarios/entry_process.h
+++ b/packages/daemon/scenarios/entry_process.h
@@ -22,7 +22,8 @@
 
   void Signal(int signal) const;
 
-  /// Waits until the process has ended by itself. After `timeout` kills it and returns false.
+  /// Returns whether the process ends by itself, and without an error, within `timeout`. Kills it
+  /// after that.
   [[nodiscard]] bool WaitForEnd(std::chrono::milliseconds timeout);
 
  private:
