--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -109,13 +109,14 @@
 
   void Serve(const http_request& request) {
     using Body = pplx::task<std::vector<unsigned char>>;
-    UseBody(request, Body(request.extract_vector()), m_gate, [this, request](const Body& body) {
-      try {
-        Answer(request, body.get());
-      } catch (const std::exception& exception) {
-        request.reply(status_codes::BadRequest, exception.what());
-      }
-    });
+    UseBody(request, static_cast<Body>(request.extract_vector()), m_gate,
+            [this, request](const Body& body) {
+              try {
+                Answer(request, body.get());
+              } catch (const std::exception& exception) {
+                request.reply(status_codes::BadRequest, exception.what());
+              }
+            });
   }
 
   void Answer(const http_request& request, const std::vector<unsigned char>& body) {
