--- a/packages/daemon/src/fleet/coordinator_members.cc
+++ b/packages/daemon/src/fleet/coordinator_members.cc
@@ -72,6 +72,9 @@
         LogEvent(kMachinesNotRead, {{"reason", read.m_error->m_message}});
         return;
       }
+      if (read.m_value->m_unreadable > 0) {
+        LogEvent(kMachinesNotRead, {{"entries", read.m_value->m_unreadable}});
+      }
       found->m_workers.insert(read.m_value->m_workers.begin(), read.m_value->m_workers.end());
       if (!read.m_value->m_next.empty()) return ReadMachines(read.m_value->m_next, found);
       OnLiveWorkers(m_state, found->m_asked, found->m_workers);
--- a/packages/platform/include/ebonypin/platform/machine_list.h
+++ b/packages/platform/include/ebonypin/platform/machine_list.h
@@ -14,6 +14,7 @@
 struct MachinePage {
   std::vector<core::fleet::WorkerId> m_workers;  ///< On machines that are up.
   std::string m_next;                            ///< Token of the next page; empty: the last one.
+  std::size_t m_unreadable = 0;                  ///< Entries left out because they cannot be read.
 };
 
 class MachineList {
