Count no crash for a run whose start the agent has not seen

Cause: an agent that restarted took the time at which it first listed a run for the run's start. If the worker crashed soon after, all its runs counted as just started, and a single one as the only suspect. Change: such a run has no known start and is no suspect.

--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -213,7 +213,6 @@
       local.m_order.m_run = run.m_run;
       local.m_order_known = false;
       local.m_arrival = ++agent.m_arrivals;
-      local.m_started = now;
       // The share is not known, as an earlier agent may have reduced it.
       local.m_paced = 0;
       local.m_stage = RunStage::kRunning;
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(AWorkerThatDrainedHasNotCrashed);
   CPPUNIT_TEST(ACutOffWorkerHasNotCrashed);
   CPPUNIT_TEST(AnAnnouncedIncarnationThatNeverAnsweredIsNoCrash);
+  CPPUNIT_TEST(ARunOfAnEarlierAgentIsNoSuspect);
   CPPUNIT_TEST(ACrashIsKnownAfterTheLeasesHaveEnded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
   }
 
+  /// Guards against a count for a run that has been at work for long, because the agent restarted
+  /// just before the worker crashed.
+  void ARunOfAnEarlierAgentIsNoSuspect() {
+    GrantedAgent fixture;
+    (void)fixture.Hold({{.m_task = kTask, .m_run = 1, .m_percent = 80}});
+    CPPUNIT_ASSERT(fixture.Lists());
+    fixture.FallSilent();
+    fixture.Restart();
+    (void)fixture.Hold({});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
+  }
+
   /// Guards against a crash that is missed because the worker was away for longer than its leases.
   void ACrashIsKnownAfterTheLeasesHaveEnded() {
     GrantedAgent fixture;
