End a process without closing the listener for callers

Cause: the HTTP library closes its last listener while calls arrive. It waits for connections that go on with their next request, answers 404 on others, and destroys a server that its threads still use.

Change: a role has Stop, which answers what is open and refuses what comes later. The daemon then flushes its log and ends without destroying the role, so no listener is closed. A stop waits up to 0.8 s for its last answers, and E617 reports calls that got none.

--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -92,6 +92,7 @@
 inline const Event kRunFailure = DefineEvent(614, EventLevel::kWarn, "run or worker failed");
 inline const Event kCallsLeftOpen = DefineEvent(615, EventLevel::kWarn, "calls open at the stop");
 inline const Event kAnswerNotSent = DefineEvent(616, EventLevel::kWarn, "answer not sent");
+inline const Event kCallsUnanswered = DefineEvent(617, EventLevel::kError, "calls without an answer at the end");
 inline const Event kWorkerState = DefineEvent(620, EventLevel::kInfo, "worker state changed");
 inline const Event kHeartbeatRefused = DefineEvent(621, EventLevel::kWarn, "heartbeat refused");
 inline const Event kGrantState = DefineEvent(622, EventLevel::kInfo, "grant state changed");
@@ -123,6 +124,9 @@
 /// and no caller blocks. An unknown level is treated as "info".
 void ConfigureLogging(std::string_view level);
 
+/// Waits until the queued events have been written, at most a tenth of a second.
+void FlushLog();
+
 /// Changes the lowest level that is logged. An unknown level is treated as "info".
 void SetLogLevel(std::string_view level);
 
--- a/packages/daemon/include/ebonypin/daemon/role.h
+++ b/packages/daemon/include/ebonypin/daemon/role.h
@@ -28,6 +28,10 @@
 
   /// Returns whether the planned stop has nothing left to finish.
   [[nodiscard]] virtual bool IsDrained() const = 0;
+
+  /// Answers what is still in progress after the drain or at its limit, and refuses what comes
+  /// later. The process may end without destroying the role.
+  virtual void Stop() {}
 };
 
 using RoleFactory = std::function<std::unique_ptr<Role>(const config::Settings&)>;
--- a/packages/daemon/scenarios/fleet_process_test.cc
+++ b/packages/daemon/scenarios/fleet_process_test.cc
@@ -2,7 +2,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <signal.h>
 
+#include <atomic>
 #include <thread>
+#include <vector>
 
 #include "ebonypin/standin/users_messages.h"
 #include "entry_process.h"
@@ -16,6 +18,7 @@
 class FleetProcessTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetProcessTest);
   CPPUNIT_TEST(CallsInProgressAtTheDrainLimitAreAnswered);
+  CPPUNIT_TEST(CallersThatGoOnUntilTheEndGetNoFalseAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -46,6 +49,39 @@
     CPPUNIT_ASSERT_EQUAL(504, submitted.m_status);
     CPPUNIT_ASSERT(ended);
   }
+
+  /// Guards against status 404, and against a process that does not end, while callers use open
+  /// connections until it is gone.
+  void CallersThatGoOnUntilTheEndGetNoFalseAnswer() {
+    constexpr auto kDrainLimit = 1s;
+    constexpr std::size_t kCallers = 4;
+    FleetSite site(0, 0, false);
+    site.PutConfig(1, "/renders/");
+    EntryProcess entry(site.StoreAddress(), kDrainLimit);
+    const auto pending = [&] {
+      return SendHttp(entry.HttpAddress(), "GET", "/renders/", {}).m_status;
+    };
+    CPPUNIT_ASSERT(WaitUntil([&] { return pending() == 200; }));
+    std::atomic<bool> gone{false};
+    std::atomic<int> false_answers{0};
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&] {
+        const auto call = OpenHttp(entry.HttpAddress());
+        while (!gone) {
+          const int status = call("GET", "/renders/").m_status;
+          const bool allowed = status == 200 || status == 503 || status == 504 || status == 0;
+          if (!allowed) ++false_answers;
+        }
+      });
+    }
+    entry.Signal(SIGTERM);
+    const bool ended = entry.WaitForEnd(kDrainLimit + 1s);
+    gone = true;
+    for (auto& caller : callers) caller.join();
+    CPPUNIT_ASSERT_EQUAL(0, false_answers.load());
+    CPPUNIT_ASSERT(ended);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetProcessTest);
--- a/packages/daemon/src/ebonypind_main.cc
+++ b/packages/daemon/src/ebonypind_main.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -115,5 +116,9 @@
     std::this_thread::sleep_for(std::chrono::milliseconds{20});
   }
   daemon::LogEvent(role->IsDrained() ? daemon::kProcessStopped : daemon::kDrainTimedOut);
-  return 0;
+  role->Stop();
+  daemon::FlushLog();
+  // The HTTP library may hang, crash or answer 404 while its last listener closes under traffic, so
+  // the process ends without closing it.
+  std::_Exit(0);
 }
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -76,10 +76,7 @@
   ~EntryRole() override {
     // Handlers use the members that are destroyed below. The listener itself is closed last, since
     // the HTTP library then answers 404 on open connections.
-    m_http.Stop(UnknownOutcome({.m_kind = core::ErrorKind::kDraining,
-                                .m_message = "this entry stops; the work may have run: ask "
-                                             "another entry"}),
-                kLastAnswersTime);
+    Stop();
     m_metrics.reset();
     m_stopping = true;
     m_timers.Stop();
@@ -142,6 +139,13 @@
     m_events.At(Now() + kLeaveNotice, [this] { m_draining = true; });
   }
 
+  void Stop() override {
+    m_http.Stop(UnknownOutcome({.m_kind = core::ErrorKind::kDraining,
+                                .m_message = "this entry stops; the work may have run: ask "
+                                             "another entry"}),
+                kLastAnswersTime);
+  }
+
   [[nodiscard]] bool IsDrained() const override {
     return m_draining && m_http.Counters().m_in_progress == 0 && m_region_log->Pending() == 0 &&
            m_config_log->Pending() == 0 &&
--- a/packages/daemon/src/events.cc
+++ b/packages/daemon/src/events.cc
@@ -5,8 +5,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <mutex>
+#include <thread>
 #include <utility>
 
 #include "log_budget.h"
@@ -128,6 +130,19 @@
   SetLogLevel(level);
 }
 
+void FlushLog() {
+  constexpr std::chrono::milliseconds kLongestWait{100};
+  constexpr std::chrono::milliseconds kPoll{2};
+  const auto pool = spdlog::thread_pool();
+  if (pool == nullptr) return;
+  const auto until = std::chrono::steady_clock::now() + kLongestWait;
+  while (pool->queue_size() > 0 && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  // The last event has left the queue and is being written.
+  std::this_thread::sleep_for(kPoll);
+}
+
 void SetLogLevel(const std::string_view level) {
   auto minimum = spdlog::level::info;
   for (const auto candidate :
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -54,7 +54,7 @@
 constexpr auto kStoppedReason = "this entry has stopped";
 /// Longest time that a stop waits for the last answers. The platform kills the process 1 s after
 /// the drain limit.
-constexpr auto kLastAnswersTime = 500ms;
+constexpr auto kLastAnswersTime = 800ms;
 constexpr auto kLastAnswersPoll = 2ms;
 /// Interval at which metrics are updated, and so the maximum age of a scraped value.
 constexpr auto kMetricsInterval = 1s;
@@ -108,8 +108,7 @@
       : m_settings(std::move(settings)), m_platform(RequirePlatform()) {}
 
   ~FleetEntryRole() override {
-    m_stopped = true;
-    AnswerOpenCalls();
+    if (!m_stopped) Stop();
     m_metrics_server = nullptr;
     m_readiness = nullptr;
     m_events->Stop();
@@ -169,6 +168,11 @@
     m_events->Post([this] { m_coordinator->Leave(); });
   }
 
+  void Stop() override {
+    m_stopped = true;
+    AnswerOpenCalls();
+  }
+
   [[nodiscard]] bool IsDrained() const override {
     return m_draining && BootNow() >= m_drain_end.load() && *m_in_progress == 0;
   }
@@ -190,6 +194,9 @@
     });
     (void)answered->get_future().wait_until(until);
     while (*m_in_progress > 0 && Now() < until) std::this_thread::sleep_for(kLastAnswersPoll);
+    if (const auto calls = m_in_progress->load(); calls > 0) {
+      LogEvent(kCallsUnanswered, {{"calls", calls}});
+    }
   }
 
   void UpdateMetrics() {
