--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -57,8 +57,8 @@
   /// The same limit for filling tasks, which make no progress while their agent throttles them to
   /// zero.
   Duration m_filling_stall_limit = std::chrono::seconds{10};
-  /// Age up to which a run may be the cause of its worker's crash. Includes the time until the agent
-  /// notices the crash with its next hold call.
+  /// Age up to which a run may be the cause of its worker's crash. Includes the time until the
+  /// agent notices the crash with its next hold call.
   Duration m_crash_window = std::chrono::milliseconds{500};
   /// Time after its placement from which a run that makes progress is no suspect any more: the
   /// crash window and the interval between two reports.
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -75,7 +75,7 @@
   bool m_in_flight = false;   ///< A call about the run has no answer yet.
   bool m_maybe_sent = false;  ///< A start without an answer may still be carried out.
   std::uint32_t m_tries = 0;
-  Time m_started;  ///< First start call or listing; epoch: no start was sent.
+  Time m_started;  ///< First start call; epoch: this agent has sent none.
   Time m_next_call;
   Time m_confirmed;        ///< When the worker last confirmed that the run is running or stopped.
   bool m_stopped = false;  ///< The worker confirmed a stop.
