Log how long a new coordinator waits for silent members

E600 told how many members have to report, not for how long those that stay silent are waited for, nor that the answer of the predecessor shortens it. Without it a log cannot tell whether the wait was too short. E600 gives the wait and the predecessor's epoch, E618 each shortening. No decision changes.

--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -93,6 +93,7 @@
 inline const Event kCallsLeftOpen = DefineEvent(615, EventLevel::kWarn, "calls open at the stop");
 inline const Event kAnswerNotSent = DefineEvent(616, EventLevel::kWarn, "answer not sent");
 inline const Event kCallsUnanswered = DefineEvent(617, EventLevel::kError, "calls without an answer at the end");
+inline const Event kSilentWaitShortened = DefineEvent(618, EventLevel::kInfo, "wait for silent members shortened");
 inline const Event kWorkerState = DefineEvent(620, EventLevel::kInfo, "worker state changed");
 inline const Event kHeartbeatRefused = DefineEvent(621, EventLevel::kWarn, "heartbeat refused");
 inline const Event kGrantState = DefineEvent(622, EventLevel::kInfo, "grant state changed");
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -260,7 +260,9 @@
   LogEvent(kCoordinatorActive, {{"epoch", m_leadership.m_epoch},
                                 {"jobs", m_state.m_jobs.size()},
                                 {"members", m_state.m_silent_members.size()},
-                                {"previous", previous.m_entry}});
+                                {"previous", previous.m_entry},
+                                {"previous_epoch", previous.m_epoch},
+                                {"wait_ms", core::ToMillis(m_state.m_silent_until - now)}});
   if (!same_address && previous.m_epoch > 0) {
     m_rpc.Call(previous.m_rpc_address,
                core::fleet::StepDown{.m_epoch = m_leadership.m_epoch,
@@ -271,6 +273,10 @@
                  m_events->Post([this, longest_grant] {
                    m_state.m_silent_until =
                        std::min(m_state.m_silent_until, BootNow() + longest_grant);
+                   LogEvent(kSilentWaitShortened,
+                            {{"epoch", m_leadership.m_epoch},
+                             {"wait_ms", core::ToMillis(m_state.m_silent_until - BootNow())},
+                             {"members", m_state.m_silent_members.size()}});
                  });
                });
   }
