Wait for every earlier epoch after a takeover, not only the last one

What callers saw: a task could run twice at the same time (TWICE).

Cause: a new coordinator waits for silent agents until all earlier grants have ended, 15.6 s. The wait was cut to 5.6 s when the direct predecessor had stepped down or had the same address. An epoch before that one may still have authority and grant to agents that neither later epoch reaches, when the predecessor had not finished its own wait. A claim of the same process that never became active counted as a predecessor that had ended, and its own predecessor was not asked to step down; a lost answer of the store to the claim is enough for that. The answer to StepDown was applied without a check of the epoch.

Change: the wait is decided in the core (fleet/takeover.h) for all earlier epochs. A coordinator records in the jobs topic that it is settled: no grant of an epoch before its own is left. The wait is shortened only when the predecessor is settled, or answers how long grants of epochs before its own last. A claim that never became active gave no grants and is passed over by the process that made it. Records and answers of earlier versions mean the longest wait. E600 and E618 give wait and cause, the metrics count waits by cause.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -26,6 +26,7 @@
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/pacing.h"
 #include "ebonypin/core/fleet/records.h"
+#include "ebonypin/core/fleet/takeover.h"
 #include "ebonypin/core/fleet/worker_health.h"
 
 namespace ebonypin::core::fleet {
@@ -333,7 +334,10 @@
   AgentId m_next_compared;            ///< Where the next search for a filling task begins.
   AgentId m_next_moved;               ///< Where the next search for moves of serving tasks begins.
   std::map<AgentId, SilentMember> m_silent_members;
-  Time m_silent_until;  ///< All grants of earlier epochs have ended by this time.
+  SilentWait m_silent_wait;
+  Time m_restored_at;                ///< Epoch of the clock: the restore is not complete.
+  Epoch m_settled_epoch = 0;         ///< See EarlierEpochs; its own once no member is silent.
+  bool m_settled_unwritten = false;  ///< The record that it is settled is to be written.
   std::set<std::string> m_evacuated_domains;  ///< See SetEvacuations.
   std::uint64_t m_next_session = 1;
   /// Number of stray runs by task. A task is not started while a stray run of it may be running.
@@ -359,9 +363,13 @@
 void Restore(Coordinator& state, const MemberRecord& member);
 
 void Restore(Coordinator& state, Time now, const ImagePairsRecord& pairs);
+void Restore(Coordinator& state, const SettledRecord& settled);
 
-/// Completes the restore. All grants of earlier epochs end by `silent_until`.
-void FinishRestore(Coordinator& state, Time now, Time silent_until);
+/// Completes the restore.
+void FinishRestore(Coordinator& state, Time now, const SilentWait& wait);
+
+/// Returns the time left of grants of epochs before this one.
+[[nodiscard]] Duration EarlierGrantsLeft(const Coordinator& state, Time now) noexcept;
 
 /// Handles a caller's call. Returns nothing when the answer has to wait until the change is in the
 /// store: call Resume after OnWritten.
--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -188,6 +188,9 @@
 
 struct StepDownReply {
   bool m_stepped_down = false;  ///< The predecessor gives no more orders or grants.
+  /// Newest epoch in which the answering process was active; zero: none, or not told.
+  Epoch m_epoch = 0;
+  Duration m_earlier_grants_left{};  ///< Time left of grants of epochs before `m_epoch`.
 
   friend bool operator==(const StepDownReply&, const StepDownReply&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -73,6 +73,14 @@
   friend bool operator==(const ImagePairsRecord&, const ImagePairsRecord&) = default;
 };
 
+/// Written by a coordinator once no grant of an epoch before its own is left. A later coordinator
+/// whose predecessor did not write it waits as long as any earlier epoch may act.
+struct SettledRecord {
+  Epoch m_epoch = 0;
+
+  friend bool operator==(const SettledRecord&, const SettledRecord&) = default;
+};
+
 /// Removes the record of a key.
 struct RemovedRecord {
   std::string m_key;
@@ -81,12 +89,13 @@
 };
 
 /// Change of the record of one key.
-using RecordChange =
-    std::variant<JobSpec, JobProgress, MemberRecord, ImagePairsRecord, RemovedRecord>;
+using RecordChange = std::variant<JobSpec, JobProgress, MemberRecord, ImagePairsRecord,
+                                  SettledRecord, RemovedRecord>;
 
 [[nodiscard]] std::string JobKey(const JobId& job);
 [[nodiscard]] std::string ProgressKey(const JobId& job);
 [[nodiscard]] std::string MemberKey(const AgentId& agent);
 inline constexpr std::string_view kImagePairsKey = "pairs";
+inline constexpr std::string_view kSettledKey = "settled";
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -309,9 +309,23 @@
   Adopt(state.m_pairs, pairs.m_pairs, now);
 }
 
-void FinishRestore(Coordinator& state, const Time now, const Time silent_until) {
-  state.m_silent_until = silent_until;
+void Restore(Coordinator& state, const SettledRecord& settled) {
+  if (settled.m_epoch >= state.m_epoch) {
+    return LogFailure(state, "stored record ignored", {}, 0, {},
+                      "it names a later epoch as settled; check what else writes to the topic");
+  }
+  state.m_settled_epoch = settled.m_epoch;
+}
+
+void FinishRestore(Coordinator& state, const Time now, const SilentWait& wait) {
+  state.m_silent_wait = wait;
+  state.m_restored_at = now;
   for (auto& [id, job] : state.m_jobs) job.m_accepted = job.m_last_ran = now;
 }
 
+Duration EarlierGrantsLeft(const Coordinator& state, const Time now) noexcept {
+  if (state.m_silent_members.empty()) return {};
+  return std::max(state.m_silent_wait.m_until - now, Duration{});
+}
+
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -82,6 +82,18 @@
   OrderStop(state, ref, task, "slow here, and a better place is free");
 }
 
+/// Lets it be recorded that no grant of an earlier epoch is left, once no member is silent.
+void NoteSettled(Coordinator& state, const Time now) {
+  if (state.m_restored_at == Time{} || state.m_settled_epoch == state.m_epoch) return;
+  if (!state.m_silent_members.empty()) return;
+  state.m_settled_epoch = state.m_epoch;
+  state.m_settled_unwritten = true;
+  const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - state.m_restored_at).count();
+  LogDecision(state, "takeover settled", {}, 0, {},
+              "no grant of an earlier epoch is left after " + std::to_string(waited) + " ms");
+}
+
 void DropClosedJobs(Coordinator& state, const WallMillis wall) {
   const auto keep =
       std::chrono::duration_cast<std::chrono::milliseconds>(state.m_options.m_closed_retention)
@@ -136,12 +148,13 @@
       CheckPlacement(state, now, agent, ref, *task);
     }
   }
-  if (!state.m_silent_members.empty() && now >= state.m_silent_until) {
+  if (!state.m_silent_members.empty() && now >= state.m_silent_wait.m_until) {
     for (const auto& [id, member] : state.m_silent_members) {
       RemoveSilentMember(state, id, "silent since the coordinator changed");
     }
     state.m_silent_members.clear();
   }
+  NoteSettled(state, now);
   MoveServingTasks(state, now);
   DropClosedJobs(state, wall);
   if (state.m_pairs_changed && now - state.m_pairs_written >= state.m_options.m_pairs_interval) {
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -52,6 +52,7 @@
 bool HasWrites(const Coordinator& state) noexcept {
   if (!state.m_unwritten_jobs.empty() || !state.m_unwritten_progress.empty()) return true;
   if (!state.m_unwritten_members.empty() || !state.m_removed_keys.empty()) return true;
+  if (state.m_settled_unwritten) return true;
   for (const auto& [id, agent] : state.m_agents) {
     if (agent.m_ends_seen > agent.m_ends_taken) return true;
     if (agent.m_crash_seen > agent.m_crash_taken) return true;
@@ -82,6 +83,9 @@
     batch.m_members.push_back(RecordOf(agent));
     batch.m_records.emplace_back(batch.m_members.back());
   }
+  if (std::exchange(state.m_settled_unwritten, false)) {
+    batch.m_records.emplace_back(SettledRecord{.m_epoch = state.m_epoch});
+  }
   if (state.m_unwritten_pairs) {
     batch.m_records.emplace_back(*std::exchange(state.m_unwritten_pairs, std::nullopt));
   }
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -22,7 +22,7 @@
                                        .m_rpc_address = MemberName(i),
                                        .m_worker = {"w-" + MemberName(i)}});
   }
-  FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
+  FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + 15s});
   return site;
 }
 
@@ -62,7 +62,7 @@
                                                   {.m_index = 1, .m_done = true},
                                                   {.m_index = 1, .m_done = true}}});
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.m_state.m_jobs.size());
-    FinishRestore(site.m_state, site.m_now, site.m_now);
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now});
     Plan(site.m_state, site.m_now, 0);
     CPPUNIT_ASSERT(site.m_state.m_jobs.at({"times"}).m_occurrences.size() <= kMaxTasksPerJob);
     const auto& good = site.m_state.m_jobs.at({"good"});
@@ -77,7 +77,7 @@
     site.m_state.m_epoch = 2;
     Restore(site.m_state, site.m_now, MakeJob("old"));
     Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
-    FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + 15s});
     site.Join("b");
     site.Accept(MakeJob("new"));
     const auto starts = site.Starts();
@@ -158,7 +158,7 @@
     site.m_state.m_epoch = 2;
     Restore(site.m_state, site.m_now, MakeJob("j"));
     Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
-    FinishRestore(site.m_state, site.m_now, site.m_now + 15s);
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + 15s});
     auto report = site.Report("a");
     report.m_runs = {{.m_task = Ref("j"), .m_run = 3, .m_percent = 40}};
     (void)site.ReportInNewSession(report);
@@ -192,7 +192,7 @@
     site.m_state.m_epoch = 2;
     Restore(site.m_state, site.m_now, MakeJob("j"));
     Restore(site.m_state, JobProgress{.m_job = {"j"}, .m_tasks = {{.m_failures = 1, .m_run = 1}}});
-    FinishRestore(site.m_state, site.m_now, site.m_now);
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now});
     (void)site.End("a", 4, Ref("j"), 3, RunOutcome::kFailed);
     (void)site.End("b", 2, Ref("j"), 2, RunOutcome::kFailed);
     (void)site.End("b", 2, Ref("j"), 2, RunOutcome::kFailed);
@@ -250,7 +250,7 @@
         Restore(after.m_state, *progress);
       }
     }
-    FinishRestore(after.m_state, after.m_now, after.m_now);
+    FinishRestore(after.m_state, after.m_now, {.m_until = after.m_now});
     after.Join("b");
     const auto starts = after.Starts();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
--- a/packages/core/tests/fleet/crash_test.cc
+++ b/packages/core/tests/fleet/crash_test.cc
@@ -68,7 +68,7 @@
     Coordinator next{.m_epoch = m_state.m_epoch + 1, .m_rpc_address = "c"};
     for (const auto& [id, job] : m_state.m_jobs) Restore(next, m_now, job.m_spec);
     for (const auto& [id, progress] : m_progress) Restore(next, progress);
-    FinishRestore(next, m_now, m_now);
+    FinishRestore(next, m_now, {.m_until = m_now});
     m_state = std::move(next);
     for (const auto& agent : kAgents) (void)ReportInNewSession(ReportOf(agent));
     Write();
--- a/packages/core/tests/fleet/history_test.cc
+++ b/packages/core/tests/fleet/history_test.cc
@@ -150,10 +150,13 @@
     for (const auto& [key, job] : m_stored_jobs) Restore(state, m_now, job);
     for (const auto& [key, progress] : m_stored_progress) Restore(state, progress);
     for (const auto& [key, member] : m_stored_members) Restore(state, member);
+    Restore(state, SettledRecord{.m_epoch = m_stored_settled});
     const auto& options = state.m_options;
-    FinishRestore(
-        state, m_now,
-        m_now + LeadershipOptions{}.m_authority + options.m_grant + options.m_lapse_slack);
+    const GrantTimes times{.m_authority = LeadershipOptions{}.m_authority,
+                           .m_grant = options.m_grant + options.m_lapse_slack};
+    FinishRestore(state, m_now,
+                  WaitAfterFence(times, m_now,
+                                 {.m_previous = m_terms.size(), .m_settled = m_stored_settled}));
     m_terms.push_back(std::move(term));
     for (auto& links : m_links) links.push_back(true);
   }
@@ -380,6 +383,8 @@
         m_stored_progress[progress->m_job] = *progress;
       } else if (const auto* const member = std::get_if<MemberRecord>(&change)) {
         m_stored_members[MemberKey(member->m_agent)] = *member;
+      } else if (const auto* const settled = std::get_if<SettledRecord>(&change)) {
+        m_stored_settled = settled->m_epoch;
       } else if (const auto* const removed = std::get_if<RemovedRecord>(&change)) {
         m_stored_members.erase(removed->m_key);
       }
@@ -427,6 +432,7 @@
   std::map<JobId, JobSpec> m_stored_jobs;
   std::map<JobId, JobProgress> m_stored_progress;
   std::map<std::string, MemberRecord> m_stored_members;
+  Epoch m_stored_settled = 0;
   std::set<TaskRef> m_acknowledged_done;
   std::vector<std::string> m_violations;
 };
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -37,6 +37,8 @@
         } else if constexpr (std::is_same_v<T, core::fleet::ImagePairsRecord>) {
           return {.m_key = std::string{core::fleet::kImagePairsKey},
                   .m_value = wire::Encode(record)};
+        } else if constexpr (std::is_same_v<T, core::fleet::SettledRecord>) {
+          return {.m_key = std::string{core::fleet::kSettledKey}, .m_value = wire::Encode(record)};
         } else {
           return {.m_key = record.m_key};
         }
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -131,12 +131,19 @@
                        events->Post([this, page = std::move(page)] {
                          if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
                          if (!page.Ok()) return BecomeFollower(page.m_error->m_message);
-                         const auto previous = PreviousClaim(page.m_value->m_records);
-                         Append({.m_epoch = std::max(previous.m_epoch, m_epoch_floor) + 1,
-                                 .m_entry = m_options.m_entry,
-                                 .m_rpc_address = m_options.m_rpc_address,
-                                 .m_incarnation = m_options.m_incarnation},
-                                page.m_value->m_end, previous);
+                         auto previous = PreviousClaim(page.m_value->m_records);
+                         const CoordinatorRecord record{
+                             .m_epoch = std::max(previous.m_epoch, m_epoch_floor) + 1,
+                             .m_entry = m_options.m_entry,
+                             .m_rpc_address = m_options.m_rpc_address,
+                             .m_incarnation = m_options.m_incarnation};
+                         // A claim of this process that never became active gave no grants; its
+                         // predecessor is the one to wait for.
+                         if (m_open_claim && previous == m_open_claim->m_record) {
+                           previous = m_open_claim->m_previous;
+                         }
+                         m_open_claim = {.m_record = record, .m_previous = previous};
+                         Append(record, page.m_value->m_end, previous);
                        });
                      });
 }
@@ -243,51 +250,94 @@
   } else if (record.m_key == core::fleet::kImagePairsKey) {
     restore(core::Capture([&] { return wire::DecodeImagePairs(record.m_value); }),
             [&](const auto& pairs) { core::fleet::Restore(m_state, BootNow(), pairs); });
+  } else if (record.m_key == core::fleet::kSettledKey) {
+    restore(core::Capture([&] { return wire::DecodeSettled(record.m_value); }),
+            [&](const auto& settled) { core::fleet::Restore(m_state, settled); });
   }
 }
 
 void CoordinatorService::Activate(const CoordinatorRecord& previous) {
   const auto now = BootNow();
-  const auto& options = m_options.m_coordinator;
-  const auto longest_grant = options.m_grant + options.m_lapse_slack;
-  // A predecessor with the same address ran on this machine and ended before this process began.
-  const bool same_address = previous.m_rpc_address == m_options.m_rpc_address;
-  const auto authority =
-      previous.m_epoch == 0 || same_address ? core::Duration{} : m_options.m_leadership.m_authority;
-  FinishRestore(m_state, now, now + authority + longest_grant);
+  // A predecessor with the same address ran on this machine and ended before this process began, or
+  // was an earlier term of this process.
+  const core::fleet::EarlierEpochs earlier{
+      .m_previous = previous.m_epoch,
+      .m_settled = m_state.m_settled_epoch,
+      .m_previous_ended = previous.m_rpc_address == m_options.m_rpc_address};
+  auto wait = WaitAfterFence(Times(), now, earlier);
+  if (earlier.m_previous_ended) {
+    wait = WaitAfterStepDown(Times(), now, earlier, wait, DescribeLastTerm());
+  }
+  FinishRestore(m_state, now, wait);
   m_leadership.m_stage = LeadershipStage::kActive;
+  m_open_claim = {};
   ObserveCoordinator(m_leadership.m_epoch, m_options.m_rpc_address);
   LogEvent(kCoordinatorActive, {{"epoch", m_leadership.m_epoch},
                                 {"jobs", m_state.m_jobs.size()},
                                 {"members", m_state.m_silent_members.size()},
                                 {"previous", previous.m_entry},
                                 {"previous_epoch", previous.m_epoch},
-                                {"wait_ms", core::ToMillis(m_state.m_silent_until - now)}});
-  if (!same_address && previous.m_epoch > 0) {
-    m_rpc.Call(previous.m_rpc_address,
-               core::fleet::StepDown{.m_epoch = m_leadership.m_epoch,
-                                     .m_coordinator = m_options.m_rpc_address},
-               kStepDownDeadline, [this, longest_grant](const wire::CallResult& result) {
-                 const auto* const reply = result.Get<core::fleet::StepDownReply>();
-                 if (reply == nullptr || !reply->m_stepped_down) return;
-                 m_events->Post([this, longest_grant] {
-                   m_state.m_silent_until =
-                       std::min(m_state.m_silent_until, BootNow() + longest_grant);
-                   LogEvent(kSilentWaitShortened,
-                            {{"epoch", m_leadership.m_epoch},
-                             {"wait_ms", core::ToMillis(m_state.m_silent_until - BootNow())},
-                             {"members", m_state.m_silent_members.size()}});
-                 });
-               });
-  }
+                                {"settled_epoch", earlier.m_settled},
+                                {"wait_ms", core::ToMillis(wait.m_until - now)},
+                                {"cause", WaitCauseName(wait.m_cause)}});
+  ++m_waits[wait.m_cause];
+  if (!earlier.m_previous_ended && previous.m_epoch > 0) AskToStepDown(previous, earlier);
   Announce();
   CheckSilentMembers();
   ScheduleCycle();
 }
 
+void CoordinatorService::AskToStepDown(const CoordinatorRecord& previous,
+                                       const core::fleet::EarlierEpochs& earlier) {
+  m_rpc.Call(previous.m_rpc_address,
+             core::fleet::StepDown{.m_epoch = m_leadership.m_epoch,
+                                   .m_coordinator = m_options.m_rpc_address},
+             kStepDownDeadline,
+             [this, earlier, epoch = m_leadership.m_epoch](const wire::CallResult& result) {
+               const auto* const reply = result.Get<core::fleet::StepDownReply>();
+               if (reply == nullptr) return;
+               m_events->Post([this, earlier, epoch, reply = *reply] {
+                 if (!IsActive() || epoch != m_leadership.m_epoch) return;
+                 OnSteppedDown(earlier, reply);
+               });
+             });
+}
+
+void CoordinatorService::OnSteppedDown(const core::fleet::EarlierEpochs& earlier,
+                                       const core::fleet::StepDownReply& reply) {
+  const auto now = BootNow();
+  const auto wait = WaitAfterStepDown(Times(), now, earlier, m_state.m_silent_wait, reply);
+  if (wait == m_state.m_silent_wait) return;
+  m_state.m_silent_wait = wait;
+  ++m_waits[wait.m_cause];
+  LogEvent(kSilentWaitShortened, {{"epoch", m_leadership.m_epoch},
+                                  {"previous_epoch", earlier.m_previous},
+                                  {"wait_ms", core::ToMillis(wait.m_until - now)},
+                                  {"cause", WaitCauseName(wait.m_cause)},
+                                  {"members", m_state.m_silent_members.size()}});
+}
+
+core::fleet::GrantTimes CoordinatorService::Times() const noexcept {
+  const auto& options = m_options.m_coordinator;
+  return {.m_authority = m_options.m_leadership.m_authority,
+          .m_grant = options.m_grant + options.m_lapse_slack};
+}
+
+core::fleet::StepDownReply CoordinatorService::DescribeLastTerm() const {
+  return {.m_stepped_down = m_leadership.m_stage != LeadershipStage::kActive,
+          .m_epoch = m_last_term.m_epoch,
+          .m_earlier_grants_left =
+              std::max(m_last_term.m_earlier_grants_until - BootNow(), core::Duration{})};
+}
+
 void CoordinatorService::BecomeFollower(const std::string& reason) {
   if (m_leadership.m_stage == LeadershipStage::kFollower) return;
   LogEvent(kLeadershipEnded, {{"epoch", m_leadership.m_epoch}, {"reason", reason}});
+  if (IsActive()) {
+    const auto now = BootNow();
+    m_last_term = {.m_epoch = m_leadership.m_epoch,
+                   .m_earlier_grants_until = now + EarlierGrantsLeft(m_state, now)};
+  }
   m_leadership.m_stage = LeadershipStage::kFollower;
   m_leadership.m_released = false;
   m_appends = {};
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -93,7 +93,7 @@
 
 core::fleet::StepDownReply CoordinatorService::OnStepDown(const core::fleet::StepDown& request) {
   ObserveCoordinator(request.m_epoch, request.m_coordinator);
-  return {.m_stepped_down = m_leadership.m_stage == LeadershipStage::kFollower};
+  return DescribeLastTerm();
 }
 
 void CoordinatorService::ScheduleCycle() {
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -69,6 +70,10 @@
   [[nodiscard]] bool IsActive() const noexcept;
   [[nodiscard]] const KnownCoordinator& Known() const noexcept { return m_known; }
   [[nodiscard]] const core::fleet::Coordinator& State() const noexcept { return m_state; }
+  /// Returns how often members were waited for since the start of the process, by cause.
+  [[nodiscard]] const std::map<core::fleet::WaitCause, std::uint64_t>& Waits() const noexcept {
+    return m_waits;
+  }
 
   /// Serves a call if this entry is the coordinator, and answers kNotCoordinator otherwise. `done`
   /// is called once. A call whose change has not been recorded by the first tick after
@@ -93,6 +98,18 @@
     JobCallDone m_done;
   };
 
+  /// Claim that has not become active.
+  struct OpenClaim {
+    core::fleet::CoordinatorRecord m_record;
+    core::fleet::CoordinatorRecord m_previous;
+  };
+
+  /// Term of leadership that has ended.
+  struct EndedTerm {
+    core::Epoch m_epoch = 0;
+    core::Time m_earlier_grants_until;  ///< All grants of earlier epochs have ended by this time.
+  };
+
   /// Workers that the platform lists as live.
   struct LiveWorkers {
     core::Time m_asked;
@@ -121,6 +138,13 @@
   void Recover(const std::string& after, const core::fleet::CoordinatorRecord& previous);
   void Restore(const platform::KeyedRecord& record);
   void Activate(const core::fleet::CoordinatorRecord& previous);
+  void AskToStepDown(const core::fleet::CoordinatorRecord& previous,
+                     const core::fleet::EarlierEpochs& earlier);
+  void OnSteppedDown(const core::fleet::EarlierEpochs& earlier,
+                     const core::fleet::StepDownReply& reply);
+  [[nodiscard]] core::fleet::GrantTimes Times() const noexcept;
+  /// Describes the last term of this process, whose grants and those before it may not have ended.
+  [[nodiscard]] core::fleet::StepDownReply DescribeLastTerm() const;
   void Announce();
   void AnnounceTo(const std::string& rpc_address);
   /// Reads the list of machines at intervals until no member is silent.
@@ -155,6 +179,9 @@
   core::fleet::Evacuations m_evacuations;
   KnownCoordinator m_known;
   core::Epoch m_epoch_floor = 0;  ///< The next claim uses a later epoch.
+  std::optional<OpenClaim> m_open_claim;
+  EndedTerm m_last_term;
+  std::map<core::fleet::WaitCause, std::uint64_t> m_waits;
   /// Renews the group membership on a thread of its own, so that a coordinator with long-running
   /// events does not lose its membership.
   EventThread m_membership_thread;
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -208,6 +208,10 @@
     m_fleet_metrics.Set("config_version", static_cast<double>(m_queues.m_version));
     m_fleet_metrics.Set("jobs", static_cast<double>(state.m_jobs.size()));
     m_fleet_metrics.Set("silent_members", static_cast<double>(state.m_silent_members.size()));
+    for (const auto& [cause, count] : m_coordinator->Waits()) {
+      m_fleet_metrics.Set("takeover_waits_" + std::string{WaitCauseName(cause)} + "_total",
+                          static_cast<double>(count));
+    }
     m_fleet_metrics.Set("evacuated_domains", static_cast<double>(m_evacuations.m_domains.size()));
     m_fleet_metrics.Set("jobs_submitted_total", static_cast<double>(counters.m_submitted));
     m_fleet_metrics.Set("jobs_refused_total", static_cast<double>(counters.m_refused));
--- a/packages/wire/include/ebonypin/wire/fleet_codec.h
+++ b/packages/wire/include/ebonypin/wire/fleet_codec.h
@@ -13,6 +13,7 @@
 [[nodiscard]] std::string Encode(const core::fleet::JobProgress& record);
 [[nodiscard]] std::string Encode(const core::fleet::MemberRecord& record);
 [[nodiscard]] std::string Encode(const core::fleet::ImagePairsRecord& record);
+[[nodiscard]] std::string Encode(const core::fleet::SettledRecord& record);
 [[nodiscard]] std::string Encode(const core::fleet::CoordinatorRecord& record);
 
 /// The decoding functions fail with kBadMessage when `bytes` are malformed.
@@ -20,6 +21,7 @@
 [[nodiscard]] core::Result<core::fleet::JobProgress> DecodeJobProgress(std::string_view bytes);
 [[nodiscard]] core::Result<core::fleet::MemberRecord> DecodeMember(std::string_view bytes);
 [[nodiscard]] core::Result<core::fleet::ImagePairsRecord> DecodeImagePairs(std::string_view bytes);
+[[nodiscard]] core::Result<core::fleet::SettledRecord> DecodeSettled(std::string_view bytes);
 [[nodiscard]] core::Result<core::fleet::CoordinatorRecord> DecodeCoordinator(
     std::string_view bytes);
 
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -148,7 +148,7 @@
 }
 
 struct StepDown { epoch @0 :UInt64; coordinator @1 :Text; }
-struct StepDownReply { steppedDown @0 :Bool; }
+struct StepDownReply { steppedDown @0 :Bool; epoch @1 :UInt64; earlierGrantsLeftUs @2 :Int64; }
 
 struct TaskProgress {
   occurrence @0 :UInt32;
@@ -174,6 +174,8 @@
 
 struct MemberRecord { agent @0 :Text; rpcAddress @1 :Text; worker @2 :Text; }
 
+struct SettledRecord { epoch @0 :UInt64; }
+
 struct ImagePairsRecord { pairs @0 :List(ImagePair); }
 
 struct CoordinatorRecord {
--- a/packages/wire/src/fleet_codec.cc
+++ b/packages/wire/src/fleet_codec.cc
@@ -52,6 +52,9 @@
 std::string Encode(const core::fleet::ImagePairsRecord& record) {
   return EncodeAs<schema::fleet::ImagePairsRecord>(record);
 }
+std::string Encode(const core::fleet::SettledRecord& record) {
+  return EncodeAs<schema::fleet::SettledRecord>(record);
+}
 std::string Encode(const core::fleet::CoordinatorRecord& record) {
   return EncodeAs<schema::fleet::CoordinatorRecord>(record);
 }
@@ -68,6 +71,9 @@
 core::Result<core::fleet::ImagePairsRecord> DecodeImagePairs(const std::string_view bytes) {
   return DecodeAs<schema::fleet::ImagePairsRecord, core::fleet::ImagePairsRecord>(bytes);
 }
+core::Result<core::fleet::SettledRecord> DecodeSettled(const std::string_view bytes) {
+  return DecodeAs<schema::fleet::SettledRecord, core::fleet::SettledRecord>(bytes);
+}
 core::Result<core::fleet::CoordinatorRecord> DecodeCoordinator(const std::string_view bytes) {
   return DecodeAs<schema::fleet::CoordinatorRecord, core::fleet::CoordinatorRecord>(bytes);
 }
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -358,10 +358,14 @@
 
 void Put(schema::fleet::StepDownReply::Builder out, const core::fleet::StepDownReply& in) {
   out.setSteppedDown(in.m_stepped_down);
+  out.setEpoch(in.m_epoch);
+  out.setEarlierGrantsLeftUs(in.m_earlier_grants_left.count());
 }
 
 core::fleet::StepDownReply Get(const schema::fleet::StepDownReply::Reader in) {
-  return {.m_stepped_down = in.getSteppedDown()};
+  return {.m_stepped_down = in.getSteppedDown(),
+          .m_epoch = in.getEpoch(),
+          .m_earlier_grants_left = core::Duration{in.getEarlierGrantsLeftUs()}};
 }
 
 void Put(schema::fleet::TaskProgress::Builder out, const core::fleet::TaskProgress& in) {
@@ -429,6 +433,14 @@
   return {.m_pairs = GetList<core::fleet::ImagePair>(in.getPairs())};
 }
 
+void Put(schema::fleet::SettledRecord::Builder out, const core::fleet::SettledRecord& in) {
+  out.setEpoch(in.m_epoch);
+}
+
+core::fleet::SettledRecord Get(const schema::fleet::SettledRecord::Reader in) {
+  return {.m_epoch = in.getEpoch()};
+}
+
 void Put(schema::fleet::CoordinatorRecord::Builder out, const core::fleet::CoordinatorRecord& in) {
   out.setEpoch(in.m_epoch);
   out.setEntry(in.m_entry);
--- a/packages/wire/src/fleet_convert.h
+++ b/packages/wire/src/fleet_convert.h
@@ -51,6 +51,8 @@
 [[nodiscard]] core::fleet::MemberRecord Get(schema::fleet::MemberRecord::Reader in);
 void Put(schema::fleet::ImagePairsRecord::Builder out, const core::fleet::ImagePairsRecord& in);
 [[nodiscard]] core::fleet::ImagePairsRecord Get(schema::fleet::ImagePairsRecord::Reader in);
+void Put(schema::fleet::SettledRecord::Builder out, const core::fleet::SettledRecord& in);
+[[nodiscard]] core::fleet::SettledRecord Get(schema::fleet::SettledRecord::Reader in);
 void Put(schema::fleet::CoordinatorRecord::Builder out, const core::fleet::CoordinatorRecord& in);
 [[nodiscard]] core::fleet::CoordinatorRecord Get(schema::fleet::CoordinatorRecord::Reader in);
 
--- a/packages/wire/tests/codec_test.cc
+++ b/packages/wire/tests/codec_test.cc
@@ -58,6 +58,9 @@
         .m_pairs = {{.m_serving = {"s"}, .m_filling = {"f"}, .m_growth = 0.5, .m_idle_ms = 4.0}}};
     const auto learned = core::Capture([&] { return DecodeImagePairs(Encode(pairs)); });
     CPPUNIT_ASSERT(learned.Ok() && *learned.m_value == pairs);
+    const core::fleet::SettledRecord settled{.m_epoch = 7};
+    const auto epoch = core::Capture([&] { return DecodeSettled(Encode(settled)); });
+    CPPUNIT_ASSERT(epoch.Ok() && *epoch.m_value == settled);
     const core::fleet::CoordinatorRecord coordinator{
         .m_epoch = 1, .m_entry = "entry-1", .m_rpc_address = "127.0.0.1:1", .m_incarnation = 2};
     const auto read = core::Capture([&] { return DecodeCoordinator(Encode(coordinator)); });
--- a/packages/wire/tests/samples.cc
+++ b/packages/wire/tests/samples.cc
@@ -253,7 +253,9 @@
                           .m_coordinator = "127.0.0.1:4",
                           .m_reason = "why"},
       fleet::StepDown{.m_epoch = 1, .m_coordinator = "127.0.0.1:4"},
-      fleet::StepDownReply{.m_stepped_down = true},
+      fleet::StepDownReply{.m_stepped_down = true,
+                           .m_epoch = 3,
+                           .m_earlier_grants_left = std::chrono::milliseconds{70}},
       kError,
   };
 }
