Confirm leadership by fenced appends only

What callers could see: a second run of a task (TWICE), on the order of a coordinator whose epoch was replaced long before.

Cause: each join that was answered with the partition confirmed the leadership. When the group deals the partitions anew, a successor may claim and fence the next epoch, after which the partition comes back to the former coordinator. If that does not learn of the later epoch, for example because its watch of the records is silent, its joins prolong its authority without end, while the successor counts on 10 s. The fence refuses appends and nothing else.

Change: only an append that the store accepted under the epoch confirms the leadership. A coordinator without records to write asks once a second with an empty append, as it did while it did not hold the partition.

Evidence: by reading, and by LeadershipTest::APartitionThatComesBackDoesNotProlongAuthority, which fails without the change.

--- a/packages/core/include/ebonypin/core/fleet/leadership.h
+++ b/packages/core/include/ebonypin/core/fleet/leadership.h
@@ -20,7 +20,7 @@
   Duration m_ttl = std::chrono::milliseconds{1100};
   /// Interval between two joins; three fit into the time limit of the membership.
   Duration m_join_interval = std::chrono::milliseconds{300};
-  /// Time for which a coordinator may act after its last confirmation by the store.
+  /// Time for which a coordinator may act after its last append that the store accepted.
   Duration m_authority = std::chrono::seconds{10};
 };
 
@@ -31,7 +31,7 @@
   LeadershipStage m_stage = LeadershipStage::kFollower;
   Epoch m_epoch = 0;        ///< Own epoch while claiming or active.
   bool m_released = false;  ///< The partition was not held at the last join.
-  Time m_confirmed;         ///< Sending time of the last call that confirmed the leadership.
+  Time m_confirmed;         ///< Sending time of the last append that the store accepted.
 };
 
 enum class LeadershipStep : std::uint8_t {
@@ -41,11 +41,14 @@
   kKeep,     ///< Join with the former generation, which does not release the partition.
 };
 
-/// Handles the answer to a join that was sent at `sent`. An active coordinator does not release the
-/// partition when the group assigns it to another member, such as an entry that came back, because
-/// a change of coordinator costs up to half a second. If the partition is moved nevertheless, it
-/// stays the leader until it learns of its successor's epoch. A coordinator whose authority has
-/// ended may not act any more, so it releases the partition.
+/// Handles the answer to a join that was sent at `sent`. It does not confirm the leadership,
+/// because a successor may have held the partition meanwhile, and its fence refuses appends only.
+///
+/// An active coordinator does not release the partition when the group assigns it to another
+/// member, such as an entry that came back, because a change of coordinator costs up to half a
+/// second. If the partition is moved nevertheless, it stays the leader until it learns of its
+/// successor's epoch. A coordinator whose authority has ended may not act any more, so it releases
+/// the partition.
 [[nodiscard]] LeadershipStep OnJoined(Leadership& state, Time sent, bool holds_partition) noexcept;
 
 /// Returns whether an entry with this epoch ends the leadership.
--- a/packages/core/src/fleet/leadership.cc
+++ b/packages/core/src/fleet/leadership.cc
@@ -1,6 +1,5 @@
 #include "ebonypin/core/fleet/leadership.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace ebonypin::core::fleet {
@@ -14,9 +13,8 @@
                                                                    : LeadershipStep::kRelease;
   }
   state.m_released = false;
-  if (state.m_stage == LeadershipStage::kFollower) return LeadershipStep::kClaim;
-  state.m_confirmed = std::max(state.m_confirmed, sent);
-  return LeadershipStep::kNone;
+  return state.m_stage == LeadershipStage::kFollower ? LeadershipStep::kClaim
+                                                     : LeadershipStep::kNone;
 }
 
 bool IsSupersededBy(const Leadership& state, const Epoch epoch) noexcept {
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ACoordinatorStaysUntilItsSuccessorIsKnown);
   CPPUNIT_TEST(AClaimIsNotEndedByTheEpochThatItReplaces);
   CPPUNIT_TEST(AuthorityEndsWithoutTheStore);
+  CPPUNIT_TEST(APartitionThatComesBackDoesNotProlongAuthority);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,15 @@
     CPPUNIT_ASSERT(MayAct(state, Time{1s} + state.m_options.m_authority - 1ms));
     CPPUNIT_ASSERT(!MayAct(state, Time{1s} + state.m_options.m_authority));
   }
+
+  /// Guards against orders of a former coordinator that gets the partition back after a successor
+  /// has claimed the next epoch, and that does not learn of this epoch.
+  void APartitionThatComesBackDoesNotProlongAuthority() {
+    Leadership state{.m_stage = LeadershipStage::kActive, .m_epoch = 3, .m_confirmed = Time{1s}};
+    CPPUNIT_ASSERT(OnJoined(state, Time{2s}, false) == LeadershipStep::kKeep);
+    CPPUNIT_ASSERT(OnJoined(state, Time{9s}, true) == LeadershipStep::kNone);
+    CPPUNIT_ASSERT(!MayAct(state, Time{1s} + state.m_options.m_authority));
+  }
 };
 
 class WorkerHealthTest : public CppUnit::TestFixture {
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -20,8 +20,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto kWriterName = "ebonypin.coordinator";
-/// While the partition is not held, joins do not confirm leadership. The active coordinator then
-/// asks the store at this interval whether its epoch is still the latest.
+/// An active coordinator without records to append asks the store at this interval whether its
+/// epoch is still the latest.
 constexpr auto kConfirmInterval = 1s;
 /// Intervals between two reads of the group's members. Non-candidates read more often: when all
 /// larger entries are lost, there is no coordinator until a non-candidate reads the members again.
@@ -366,7 +366,7 @@
   return {.m_name = kWriterName, .m_epoch = m_leadership.m_epoch, .m_sequence = sequence};
 }
 
-/// Asks the store whether a later epoch exists, unless a recent append or join has confirmed
+/// Asks the store whether a later epoch exists, unless a recent append has confirmed the
 /// leadership.
 void CoordinatorService::ConfirmLeadership() {
   const auto sent = BootNow();
