Append the settled epoch of a site without agents with other records

Cause: the record alone started an append, and the first append of an epoch is the only one until the store has taken it.

Change: without agents there are no grants that a later coordinator could wait for, so the record waits for another append.

--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -52,7 +52,8 @@
 bool HasWrites(const Coordinator& state) noexcept {
   if (!state.m_unwritten_jobs.empty() || !state.m_unwritten_progress.empty()) return true;
   if (!state.m_unwritten_members.empty() || !state.m_removed_keys.empty()) return true;
-  if (state.m_settled_unwritten) return true;
+  // Without agents there are no grants: the record waits for another append.
+  if (state.m_settled_unwritten && !state.m_agents.empty()) return true;
   for (const auto& [id, agent] : state.m_agents) {
     if (agent.m_ends_seen > agent.m_ends_taken) return true;
     if (agent.m_crash_seen > agent.m_crash_taken) return true;
--- a/packages/core/tests/fleet/takeover_wait_test.cc
+++ b/packages/core/tests/fleet/takeover_wait_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(AnOddAnswerDelaysNoStartBeyondTheLongestWait);
   CPPUNIT_TEST(MissingRecordsMeanTheLongestWait);
   CPPUNIT_TEST(ACoordinatorIsSettledOnceNoMemberIsSilent);
+  CPPUNIT_TEST(ACoordinatorWithoutAgentsAppendsNothing);
   CPPUNIT_TEST(ASettledRecordOfALaterEpochIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
@@ -140,6 +141,15 @@
     CPPUNIT_ASSERT(!HasWrites(site.m_state));
   }
 
+  /// Guards against an append that a first submission has to wait for.
+  void ACoordinatorWithoutAgentsAppendsNothing() {
+    Site site;
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + kLongest});
+    Tick(site.m_state, site.m_now, site.m_wall);
+    CPPUNIT_ASSERT(!HasWrites(site.m_state));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeWrites(site.m_state, site.m_wall).m_records.size());
+  }
+
   /// Guards against a record of another writer that would shorten the wait of a later coordinator.
   void ASettledRecordOfALaterEpochIsIgnored() {
     Site site;
