Begin a new session when an agent's worker changes

What callers could see: a task that ran twice at the same time (TWICE), after the loss of a worker and of the coordinator.

Cause: an agent whose worker gave way to another one (a new id) kept its session and its grant. An order that the coordinator had placed for the former worker, and that arrived later, started its run on the next one, which no member record names yet. When the coordinator is lost then and the agent is out of reach, the successor finds the worker of the record missing from the platform's list and drops the member after a second, while the run is at work.

Change: the session ends with the worker. The agent takes orders again in a session that begins with a report of the new worker, and the coordinator places nothing there before the member record names it.

WorkerAgentTest::ARestartBeforeAStartWasSentIsNoCrash gave orders in the session of the former worker; it now gets a session after each change and checks that its orders are taken.

--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -328,6 +328,8 @@
   const bool draining = agent.m_worker.m_draining;
   const Resources capacity = agent.m_worker.m_capacity;
   if (other_life) BeginIncarnation(agent, now);
+  // Orders of the session are meant for the worker that the member record names.
+  if (!first && worker.m_id != agent.m_worker.m_id) agent.m_session = 0;
   agent.m_worker = worker;
   agent.m_worker.m_reachable = reachable;
   agent.m_sequence = sequence;
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -140,13 +140,15 @@
   /// worker restarted, twice.
   void ARestartBeforeAStartWasSentIsNoCrash() {
     GrantedAgent fixture;
-    (void)fixture.Order(1, 1);
+    CPPUNIT_ASSERT(fixture.Order(1, 1));
     fixture.Restart();
-    (void)fixture.Order(2, 2);
+    fixture.Grant(5s);
+    CPPUNIT_ASSERT(fixture.Order(1, 2));
     fixture.Restart();
     (void)fixture.Hold({});
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
-    (void)fixture.Order(3, 3);
+    fixture.Grant(5s);
+    CPPUNIT_ASSERT(fixture.Order(1, 3));
     const auto calls = NextCalls(fixture.m_agent, fixture.m_now);
     OnRunAnswer(fixture.m_agent, fixture.m_now, calls.at(0), RunAnswer::kNotSent);
     fixture.Restart();
--- /dev/null
+++ b/packages/core/tests/fleet/worker_change_test.cc
@@ -0,0 +1,69 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "ebonypin/core/fleet/worker_agent.h"
+
+namespace ebonypin::core::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Agent whose worker gives way to another one.
+class WorkerChangeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorkerChangeTest);
+  CPPUNIT_TEST(AnOrderForTheFormerWorkerStartsNothingOnTheNext);
+  CPPUNIT_TEST(ARestartedWorkerKeepsTheSession);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against a run on a worker that no member record names. A succeeding coordinator would
+  /// not wait for it, because the worker of the record is not listed any more.
+  void AnOrderForTheFormerWorkerStartsNothingOnTheNext() {
+    Answer(1000);
+    Announce("w2", 2000);
+    Answer(2000);
+    CPPUNIT_ASSERT(!TakesOrder());
+    CPPUNIT_ASSERT(NextCalls(m_agent, m_now).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, MakeReport(m_agent, m_now).m_session);
+  }
+
+  void ARestartedWorkerKeepsTheSession() {
+    Answer(1000);
+    Announce("w1", 2000);
+    Answer(2000);
+    CPPUNIT_ASSERT(TakesOrder());
+  }
+
+  void setUp() override {
+    Begin(m_agent, m_now);
+    Announce("w1", 1000);
+    Answer(1000);
+    (void)OnOrders(m_agent, m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnReportReply(m_agent, m_now,
+                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = 5s});
+  }
+
+ private:
+  void Announce(const std::string& id, const std::int64_t born) {
+    m_now += 10ms;
+    OnHeartbeat(m_agent, m_now, {.m_id = {id}, .m_born = born, .m_service = {"desk"}}, 1);
+  }
+
+  void Answer(const std::int64_t born) {
+    m_now += 100ms;
+    CPPUNIT_ASSERT(NextHold(m_agent, m_now).has_value());
+    OnHold(m_agent, m_now, m_now, HoldAnswer{.m_born = born, .m_clock_ms = 5000});
+  }
+
+  bool TakesOrder() {
+    const Order order{.m_number = 1, .m_start = {.m_task = {.m_job = {"j"}}, .m_run = 1}};
+    return OnOrders(m_agent, m_now, {.m_epoch = 1, .m_session = 9, .m_orders = {order}}).m_accepted;
+  }
+
+  WorkerAgent m_agent{.m_id = {"a"}, .m_rpc_address = "a", .m_fence = 100};
+  Time m_now{1h};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerChangeTest);
+
+}  // namespace
+}  // namespace ebonypin::core::fleet
