Count a job as pending until an agent lists a run of it

Cause: a job counted as begun once it was placed. An agent that had just been cut off took none of the orders, and its grant lasted five more seconds.

Change: a job has begun when an agent lists a run of it, or its end. Until then its state is shown as queued.

Two older tests took a placed job for begun; they now check both sides of the listing.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -213,7 +213,7 @@
   bool m_recorded = false;   ///< The submission is in the store.
   bool m_inherited = false;  ///< Accepted in an earlier epoch.
   bool m_cancelled = false;
-  bool m_begun = false;  ///< A task of it was started.
+  bool m_begun = false;  ///< An agent has listed a run of it.
   bool m_closed = false;
   JobPhase m_phase = JobPhase::kQueued;  ///< As decided; may not be in the store yet.
   /// Phase in the store, which no later coordinator contradicts. Callers are shown only this one.
--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -36,7 +36,7 @@
   bool m_closed = false;  ///< The final phase is reached; the tasks are omitted.
   JobPhase m_phase = JobPhase::kQueued;
   WallMillis m_closed_at = 0;
-  bool m_begun = false;  ///< A task of it was started.
+  bool m_begun = false;  ///< An agent has listed a run of it.
   std::vector<std::uint32_t> m_closed_occurrences;
   std::vector<TaskProgress> m_tasks;
 
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -92,7 +92,6 @@
     task->m_placed = now;
     task->m_progressed = now;
     task->m_order = 0;
-    job->m_begun = true;
     AddPlacedRun(state, agent, run.m_task, *task);
     LogDecision(state, "run adopted", run.m_task, run.m_run, agent.m_id, "listed by its agent");
   }
@@ -100,6 +99,7 @@
       task->m_run != run.m_run) {
     return StopStrayRun(state, agent, run, "another run of the task is current");
   }
+  job->m_begun = true;
   if (run.m_percent != task->m_percent) {
     task->m_percent = run.m_percent;
     task->m_progressed = now;
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -218,7 +218,6 @@
     Start(state, now, *agent, need, job, task, NextRun(state, task.m_run));
     AddPlaced(placed, i, task.m_run, *agent);
     step.m_waits = false;
-    job.m_begun = true;
     job.m_last_ran = now;
   }
   LogPlaced(state,
@@ -280,7 +279,6 @@
     AddPlaced(placed, ref.m_index, run, *agent);
   }
   LogPlaced(state, ref_of(0), placed);
-  job.m_begun = true;
   job.m_last_ran = now;
 }
 
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -76,6 +76,8 @@
     site.Join("a");
     site.Accept(MakeJob("j"));
     (void)site.Starts();
+    CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kQueued);
+    site.ListPlacedRuns("a");
     CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kRunning);
     (void)site.End("a", 1, Ref("j"), 1, RunOutcome::kDone);
     CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kRunning);
@@ -190,6 +192,7 @@
                        .m_job = {.m_policy = {.m_queue = {"renders"}}}};
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Resume(site.m_state, call)->m_pending);
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, site.Starts().size());
+    site.ListPlacedRuns("a");
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Resume(site.m_state, call)->m_pending);
   }
 
--- a/packages/core/tests/fleet/fleet_fixture.h
+++ b/packages/core/tests/fleet/fleet_fixture.h
@@ -117,6 +117,17 @@
     (void)OnReport(m_state, m_now, Report(agent));
   }
 
+  /// Sends a report in which `agent` lists all runs that are placed there.
+  void ListPlacedRuns(const std::string& agent) {
+    auto report = Report(agent);
+    for (const auto& [ref, run] : m_state.m_agents.at({agent}).m_placed_runs) {
+      const auto& steps = m_state.m_jobs.at(ref.m_job).m_occurrences.at(ref.m_occurrence).m_steps;
+      report.m_runs.push_back(
+          {.m_task = ref, .m_run = steps[ref.m_step].m_tasks[ref.m_index].m_run});
+    }
+    (void)OnReport(m_state, m_now, report);
+  }
+
   /// Makes a plan and returns the starts that it ordered, with their agents.
   std::vector<std::pair<std::string, StartOrder>> Starts() {
     std::vector<std::uint64_t> before;
