Keep the lease bound when a later incarnation of the worker answers

What callers would see: a task runs twice at the same time after an agent has restarted.

Cause: the first answer to a hold may come from a later incarnation than the one that the agent knows, for example because its first heartbeat was a delayed one of a former incarnation. OnHold then discarded the list and ended the lease bound. While the worker was not marked as reachable, the next Tick concluded that nothing runs. A report made before the next list let the coordinator start the runs of the former agent process elsewhere, although they were leased. The same happened to a start that the next incarnation had carried out under the same id before the agent knew of it.

Change: the bound stays. Only a list, or the end of all leases, shows that nothing runs. A restarted worker costs no time: the hold that follows at once brings the list.

--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -458,7 +458,8 @@
     BeginIncarnation(agent, now);
     agent.m_worker.m_born = answer->m_born;
     agent.m_answered = true;
-    agent.m_leased_until = now;
+    // The lease bound stays until a list shows the runs: this incarnation may have runs of a former
+    // agent process, or have carried out a start that was meant for its predecessor.
     return;
   }
   agent.m_answered = true;
--- /dev/null
+++ b/packages/core/tests/fleet/worker_agent_restart_test.cc
@@ -0,0 +1,126 @@
+/// Agents that start beside a worker which may have runs of a former agent process.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "ebonypin/core/fleet/worker_agent.h"
+
+namespace ebonypin::core::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TaskRef kTask{.m_job = {"j"}};
+const ListedRun kRun{.m_task = kTask, .m_run = 3};
+
+/// Agent process that has just started.
+class StartedAgent {
+ public:
+  WorkerAgent m_agent{.m_id = {"a"}, .m_rpc_address = "a", .m_fence = 100};
+  Time m_now{1h};
+  WorkerInfo m_worker{.m_id = {"w"}, .m_born = 1000, .m_service = {"desk"}};
+
+  StartedAgent() { Begin(m_agent, m_now); }
+
+  /// Delivers a heartbeat of the incarnation `born`, which keeps the worker's id.
+  bool Announce(const std::int64_t born) {
+    m_worker.m_born = born;
+    return OnHeartbeat(m_agent, m_now, m_worker, 1);
+  }
+
+  /// Makes a hold call that the incarnation `born` answers.
+  void Hold(const std::int64_t born, const std::vector<ListedRun>& runs = {}) {
+    Exchange(HoldAnswer{.m_born = born, .m_clock_ms = 5000, .m_runs = runs});
+  }
+
+  /// Makes a hold call that the worker does not answer.
+  void FallSilent() { Exchange(std::nullopt); }
+
+  /// Returns the next report, after the timers have run.
+  AgentReport Report() {
+    m_now += 10ms;
+    Tick(m_agent, m_now);
+    return MakeReport(m_agent, m_now);
+  }
+
+  [[nodiscard]] bool ClaimsThatNothingRuns() {
+    const auto report = Report();
+    return report.m_runs_known && report.m_runs.empty();
+  }
+
+ private:
+  void Exchange(const std::optional<HoldAnswer>& answer) {
+    m_now += 150ms;
+    const auto sent = m_now;
+    CPPUNIT_ASSERT(NextHold(m_agent, sent).has_value());
+    m_now += 1ms;
+    OnHold(m_agent, sent, m_now, answer);
+  }
+};
+
+class WorkerAgentRestartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorkerAgentRestartTest);
+  CPPUNIT_TEST(ADelayedFirstHeartbeatHidesNoRun);
+  CPPUNIT_TEST(AnIncarnationAnnouncedBeforeTheFirstAnswerHidesNoRun);
+  CPPUNIT_TEST(AStartThatReachesTheNextIncarnationIsNotHidden);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against a report without the runs of a former agent process when the first heartbeat
+  /// is a delayed one of a former incarnation.
+  void ADelayedFirstHeartbeatHidesNoRun() {
+    StartedAgent fixture;
+    fixture.Announce(900);
+    fixture.Hold(1000, {kRun});
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    // The worker is cut off until the leases of the former process have ended.
+    fixture.FallSilent();
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    fixture.m_now = Time{1h} + fixture.m_agent.m_options.m_longest_lease;
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    fixture.m_now += 500ms;
+    CPPUNIT_ASSERT(fixture.ClaimsThatNothingRuns());
+    fixture.Hold(1000, {kRun});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Report().m_runs.size());
+  }
+
+  /// Guards against a lease bound that ends because incarnations are announced, also by another
+  /// writer, that have not answered this process.
+  void AnIncarnationAnnouncedBeforeTheFirstAnswerHidesNoRun() {
+    StartedAgent fixture;
+    fixture.Announce(900);
+    fixture.FallSilent();
+    CPPUNIT_ASSERT(fixture.Announce(950));
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    fixture.Hold(1000, {kRun});
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    CPPUNIT_ASSERT(fixture.Announce(2000));
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    fixture.Hold(2500);
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    fixture.Hold(2500);
+    CPPUNIT_ASSERT(fixture.ClaimsThatNothingRuns());
+  }
+
+  /// Guards against a start that a worker restarted under the same id carried out before the agent
+  /// knew of the restart, and that a report then leaves out.
+  void AStartThatReachesTheNextIncarnationIsNotHidden() {
+    StartedAgent fixture;
+    fixture.Announce(1000);
+    fixture.Hold(1000);
+    (void)OnOrders(fixture.m_agent, fixture.m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnReportReply(fixture.m_agent, fixture.m_now,
+                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = 5s});
+    const StartOrder order{.m_task = kTask, .m_run = 3};
+    (void)OnOrders(fixture.m_agent, fixture.m_now,
+                   {.m_epoch = 1, .m_session = 9, .m_orders = {{.m_number = 1, .m_start = order}}});
+    // The worker restarts, carries out the start, and its answers are lost.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NextCalls(fixture.m_agent, fixture.m_now).size());
+    fixture.FallSilent();
+    fixture.Hold(2000, {kRun});
+    CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerAgentRestartTest);
+
+}  // namespace
+}  // namespace ebonypin::core::fleet
