Let a restarted agent wait for the coordinator's record

What callers would see: a task runs twice at the same time, or is started again after its end `done`.

Cause: an agent forgets the epoch that it obeyed when its process ends. The new process took the first coordinator that announced itself. That may be a former one which is cut off from the store and from the other entries, but not from this agent, and acts on its authority for up to 10 s. It gave the agent a session and started tasks that its successor, which the former agent process had reported to, had started elsewhere.

Change: an agent process takes no coordinator, and so no orders and no session, until it has read the coordinator's record from the store once, or a complete read has found no record. The store's answers are linearizable, so the record is at least as late as any epoch that the former process obeyed.

Tests: the set-up of three existing tests reads a record where it took an announcement; no check is changed.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -20,6 +20,7 @@
 
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/pacing.h"
+#include "ebonypin/core/fleet/records.h"
 
 namespace ebonypin::core::fleet {
 
@@ -143,6 +144,8 @@
   std::string m_rpc_address;
   std::uint64_t m_fence = 0;
 
+  /// The coordinator's record has been read from the store since this process began.
+  bool m_coordinator_read = false;
   Epoch m_epoch = 0;
   std::string m_coordinator;
   std::uint64_t m_session = 0;
@@ -182,6 +185,13 @@
 /// answered, are ignored. Returns whether it announced a new incarnation of the worker.
 bool OnHeartbeat(WorkerAgent& agent, Time now, const WorkerInfo& worker, std::uint64_t sequence);
 
+/// Handles the coordinator's record as read from the store; nullopt: the store has none.
+void OnCoordinatorRead(WorkerAgent& agent, Time now,
+                       const std::optional<CoordinatorRecord>& record);
+
+/// Handles orders, or the announcement of a coordinator, which has none. All are refused until the
+/// coordinator's record has been read: a former agent process may have obeyed a later epoch than
+/// the one that sends them, and the store knows an epoch that is at least as late.
 [[nodiscard]] AgentOrdersReply OnOrders(WorkerAgent& agent, Time now, const AgentOrders& orders);
 
 [[nodiscard]] AgentReport MakeReport(WorkerAgent& agent, Time now);
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -338,7 +338,15 @@
   return first || other_life;
 }
 
+void OnCoordinatorRead(WorkerAgent& agent, const Time now,
+                       const std::optional<CoordinatorRecord>& record) {
+  agent.m_coordinator_read = true;
+  if (!record) return;
+  (void)OnOrders(agent, now, {.m_epoch = record->m_epoch, .m_coordinator = record->m_rpc_address});
+}
+
 AgentOrdersReply OnOrders(WorkerAgent& agent, const Time now, const AgentOrders& orders) {
+  if (!agent.m_coordinator_read) return {.m_epoch = agent.m_epoch};
   if (orders.m_epoch > agent.m_epoch) {
     agent.m_epoch = orders.m_epoch;
     agent.m_coordinator = orders.m_coordinator;
--- a/packages/core/tests/fleet/history_test.cc
+++ b/packages/core/tests/fleet/history_test.cc
@@ -267,9 +267,9 @@
     Tick(agent, m_now);
     // From time to time the agent reads the coordinator's record from the store.
     if (std::uniform_int_distribution<>{0, 50}(m_random) == 0) {
-      (void)OnOrders(
-          agent, m_now,
-          {.m_epoch = m_terms.size(), .m_coordinator = std::to_string(m_terms.size() - 1)});
+      OnCoordinatorRead(agent, m_now,
+                        CoordinatorRecord{.m_epoch = m_terms.size(),
+                                          .m_rpc_address = std::to_string(m_terms.size() - 1)});
     }
     if (const auto hold = NextHold(agent, m_now)) ExchangeHold(i, *hold);
     for (const auto& call : NextCalls(agent, m_now)) ExchangeCall(i, call);
--- a/packages/core/tests/fleet/pacing_test.cc
+++ b/packages/core/tests/fleet/pacing_test.cc
@@ -25,7 +25,7 @@
     Begin(m_agent, m_now);
     OnHeartbeat(m_agent, m_now,
                 {.m_id = {"w"}, .m_born = 1, .m_capacity = {.m_cpu_millis = 16'000}}, 1);
-    (void)OnOrders(m_agent, m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnCoordinatorRead(m_agent, m_now, CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
     OnReportReply(m_agent, m_now,
                   {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = 1h});
     ObserveLatency(m_agent.m_pairs, kWatch, kIdleMs);
--- a/packages/core/tests/fleet/worker_agent_restart_test.cc
+++ b/packages/core/tests/fleet/worker_agent_restart_test.cc
@@ -26,6 +26,11 @@
     return OnHeartbeat(m_agent, m_now, m_worker, 1);
   }
 
+  /// Delivers a coordinator's announcement; returns whether the agent took it.
+  bool Announced(const Epoch epoch, const std::string& coordinator) {
+    return OnOrders(m_agent, m_now, {.m_epoch = epoch, .m_coordinator = coordinator}).m_accepted;
+  }
+
   /// Makes a hold call that the incarnation `born` answers.
   void Hold(const std::int64_t born, const std::vector<ListedRun>& runs = {}) {
     Exchange(HoldAnswer{.m_born = born, .m_clock_ms = 5000, .m_runs = runs});
@@ -61,6 +66,8 @@
   CPPUNIT_TEST(ADelayedFirstHeartbeatHidesNoRun);
   CPPUNIT_TEST(AnIncarnationAnnouncedBeforeTheFirstAnswerHidesNoRun);
   CPPUNIT_TEST(AStartThatReachesTheNextIncarnationIsNotHidden);
+  CPPUNIT_TEST(ARestartedAgentObeysNoFormerCoordinator);
+  CPPUNIT_TEST(AnAgentBesideAnEmptyStoreTakesTheFirstCoordinator);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -106,7 +113,8 @@
     StartedAgent fixture;
     fixture.Announce(1000);
     fixture.Hold(1000);
-    (void)OnOrders(fixture.m_agent, fixture.m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnCoordinatorRead(fixture.m_agent, fixture.m_now,
+                      CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
     OnReportReply(fixture.m_agent, fixture.m_now,
                   {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = 5s});
     const StartOrder order{.m_task = kTask, .m_run = 3};
@@ -118,6 +126,34 @@
     fixture.Hold(2000, {kRun});
     CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
   }
+
+  /// Guards against a restarted agent that reports to a coordinator which is cut off from the store
+  /// and whose successor the former agent process has obeyed: both would start its tasks.
+  void ARestartedAgentObeysNoFormerCoordinator() {
+    StartedAgent fixture;
+    CPPUNIT_ASSERT(!fixture.Announced(1, "former"));
+    CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.m_agent.m_coordinator);
+    OnCoordinatorRead(fixture.m_agent, fixture.m_now,
+                      CoordinatorRecord{.m_epoch = 2, .m_rpc_address = "successor"});
+    CPPUNIT_ASSERT(!fixture.Announced(1, "former"));
+    // A late answer of the store.
+    OnCoordinatorRead(fixture.m_agent, fixture.m_now,
+                      CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "former"});
+    OnCoordinatorRead(fixture.m_agent, fixture.m_now, std::nullopt);
+    CPPUNIT_ASSERT(!fixture.Announced(1, "former"));
+    CPPUNIT_ASSERT_EQUAL(std::string{"successor"}, fixture.m_agent.m_coordinator);
+    CPPUNIT_ASSERT(fixture.Announced(3, "next"));
+    CPPUNIT_ASSERT_EQUAL(std::string{"next"}, fixture.m_agent.m_coordinator);
+  }
+
+  /// Guards against agents of a new deployment that wait for a record which nobody has written.
+  void AnAgentBesideAnEmptyStoreTakesTheFirstCoordinator() {
+    StartedAgent fixture;
+    CPPUNIT_ASSERT(!fixture.Announced(1, "c"));
+    OnCoordinatorRead(fixture.m_agent, fixture.m_now, std::nullopt);
+    CPPUNIT_ASSERT(fixture.Announced(1, "c"));
+    CPPUNIT_ASSERT_EQUAL(std::string{"c"}, fixture.m_agent.m_coordinator);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerAgentRestartTest);
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -25,7 +25,7 @@
     Begin(m_agent, m_now);
     OnHeartbeat(m_agent, m_now, m_worker, 1);
     Hold({});
-    (void)OnOrders(m_agent, m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnCoordinatorRead(m_agent, m_now, CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
     Grant(5s);
   }
 
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <iterator>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -115,7 +116,8 @@
     // The fence exceeds that of an earlier agent of this worker unless the wall clock was set back.
     // In that case the worker refuses it as outdated, and the agent raises it.
     m_agent.m_fence = static_cast<std::uint64_t>(WallNow()) << 10U;
-    Begin(m_agent, BootNow());
+    m_started = BootNow();
+    Begin(m_agent, m_started);
     m_store = m_platform.m_store(m_settings.m_store_url);
     m_worker = m_platform.m_worker(m_settings.m_worker_url);
     m_rpc = StartRpc(m_settings, m_events,
@@ -123,9 +125,10 @@
                        ServeMessage(message, std::move(reply));
                      });
     m_control = m_platform.m_control(m_settings.m_control_address, Handlers());
-    m_coordinator_watch =
-        WatchCoordinator(m_events, *m_store, m_platform.m_coordinator_topic, kCoordinatorPollWait,
-                         [this](const auto& record) { OnCoordinatorRecord(record); });
+    m_coordinator_watch = WatchCoordinator(
+        m_events, *m_store, m_platform.m_coordinator_topic, kCoordinatorPollWait,
+        [this](const auto& record) { HandleCoordinator(record); },
+        [this] { HandleCoordinator(std::nullopt); });
     m_events->Every(kTickInterval, [this] { OnTick(); });
     m_events->Every(kMetricsInterval, [this] { UpdateMetrics(); });
     m_metrics_server = StartMetrics(m_settings, m_fleet_metrics, *m_rpc);
@@ -166,14 +169,25 @@
     SendDueCalls();
   }
 
-  void OnCoordinatorRecord(const core::fleet::CoordinatorRecord& record) {
-    (void)OnOrders(m_agent, BootNow(),
-                   {.m_epoch = record.m_epoch, .m_coordinator = record.m_rpc_address});
+  void HandleCoordinator(const std::optional<core::fleet::CoordinatorRecord>& record) {
+    const bool first = !m_agent.m_coordinator_read;
+    OnCoordinatorRead(m_agent, BootNow(), record);
+    if (first) LogCoordinatorAwaited(false, m_agent.m_epoch);
     SendDueCalls();
   }
 
+  void LogCoordinatorAwaited(const bool awaited, const core::Epoch epoch) {
+    const auto waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(BootNow() - m_started);
+    LogEvent(kCoordinatorAwaited,
+             {{"awaited", awaited}, {"epoch", epoch}, {"waited_ms", waited.count()}});
+  }
+
   void ServeMessage(const core::Message& message, wire::ReplyFunction reply) {
     if (const auto* const orders = std::get_if<core::fleet::AgentOrders>(&message)) {
+      if (!m_agent.m_coordinator_read && !std::exchange(m_refused_coordinator, true)) {
+        LogCoordinatorAwaited(true, orders->m_epoch);
+      }
       reply(OnOrders(m_agent, BootNow(), *orders));
       return SendDueCalls();
     }
@@ -377,6 +391,8 @@
   std::shared_ptr<TopicWatch> m_coordinator_watch;
   std::unique_ptr<MetricsServer> m_metrics_server;
   FleetMetrics m_fleet_metrics;
+  core::Time m_started;
+  bool m_refused_coordinator = false;  ///< Before the coordinator's record was read.
   bool m_report_in_flight = false;
   core::Time m_last_report;
   core::Time m_next_report;
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -1,5 +1,6 @@
 #include "fleet_parts.h"
 
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -120,8 +121,8 @@
 
 std::shared_ptr<TopicWatch> WatchCoordinator(
     std::shared_ptr<EventThread> events, platform::KeyedStore& store, const std::string& topic,
-    const core::Duration wait,
-    std::function<void(const core::fleet::CoordinatorRecord&)> on_record) {
+    const core::Duration wait, std::function<void(const core::fleet::CoordinatorRecord&)> on_record,
+    std::function<void()> on_none) {
   auto watch = std::make_shared<TopicWatch>(
       std::move(events), store,
       TopicWatchOptions{
@@ -135,6 +136,10 @@
                 LogEvent(kRecordNotDecoded,
                          {{"key", record.m_key}, {"reason", decoded.m_error->m_message}});
               },
+          .m_on_all_read =
+              [on_none = std::move(on_none)](const std::set<std::string>& keys) {
+                if (keys.empty() && on_none) on_none();
+              },
           .m_on_state =
               [](const bool available, const std::string& reason) {
                 LogEvent(available ? kLogAvailable : kLogUnavailable,
--- a/packages/daemon/src/fleet/fleet_parts.h
+++ b/packages/daemon/src/fleet/fleet_parts.h
@@ -63,9 +63,10 @@
 [[nodiscard]] const platform::PlatformPlugin& RequirePlatform();
 
 /// Follows the coordinator records of `topic` with reads that wait up to `wait`. `on_record` runs
-/// on `events`.
+/// on `events`, and so does `on_none`, when a complete read has found no record.
 [[nodiscard]] std::shared_ptr<TopicWatch> WatchCoordinator(
     std::shared_ptr<EventThread> events, platform::KeyedStore& store, const std::string& topic,
-    core::Duration wait, std::function<void(const core::fleet::CoordinatorRecord&)> on_record);
+    core::Duration wait, std::function<void(const core::fleet::CoordinatorRecord&)> on_record,
+    std::function<void()> on_none = {});
 
 }  // namespace ebonypin::daemon
