--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -340,7 +340,15 @@
   return first || other_life;
 }
 
+void OnCoordinatorRead(WorkerAgent& agent, const Time now,
+                       const std::optional<CoordinatorRecord>& record) {
+  agent.m_coordinator_read = true;
+  if (!record) return;
+  (void)OnOrders(agent, now, {.m_epoch = record->m_epoch, .m_coordinator = record->m_rpc_address});
+}
+
 AgentOrdersReply OnOrders(WorkerAgent& agent, const Time now, const AgentOrders& orders) {
+  if (!agent.m_coordinator_read) return {.m_epoch = agent.m_epoch};
   if (orders.m_epoch > agent.m_epoch) {
     agent.m_epoch = orders.m_epoch;
     agent.m_coordinator = orders.m_coordinator;
@@ -460,7 +468,8 @@
     BeginIncarnation(agent, now);
     agent.m_worker.m_born = answer->m_born;
     agent.m_answered = true;
-    agent.m_leased_until = now;
+    // The lease bound stays until a list shows the runs: this incarnation may have runs of a former
+    // agent process, or have carried out a start that was meant for its predecessor.
     return;
   }
   agent.m_answered = true;
