Take over occurrences that the former coordinator's clock has opened

After a change of coordinator a task of a timed job ran twice, or its end was acknowledged and the task started again.

The clock of the former coordinator was ahead, and it had opened an occurrence that is not due by the clock of the new one. OnRun stopped the reported run as a stray, and OnEnd dropped the end as that of an unknown task while OnEnds acknowledged it. Some time later the occurrence became due, and its tasks started from the beginning.

Open the occurrences that a report names before it is handled. The new test fails without this (the run is stopped).

--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -79,6 +79,20 @@
   }
 }
 
+/// Opens the occurrences that the report names and that are not due yet by this clock. The former
+/// coordinator, whose clock was ahead, has started them: otherwise their runs would be stopped and
+/// their ends dropped as unknown, and their tasks started again.
+void OpenReported(Coordinator& state, const AgentReport& report) {
+  const auto open = [&](const TaskRef& task) {
+    Job* const job = FindJob(state, task.m_job);
+    if (job == nullptr || job->m_closed || task.m_occurrence >= job->m_spec.m_times) return;
+    OpenOccurrence(*job, task.m_occurrence);
+  };
+  for (const auto& run : report.m_runs) open(run.m_task);
+  for (const auto& end : report.m_ends) open(end.m_task);
+  for (const auto& crash : report.m_crashed) open(crash.m_task);
+}
+
 /// Handles a listed run: adopts it, updates its progress, or stops it when it is a stray run.
 void OnRun(Coordinator& state, const Time now, Agent& agent, const RunStatus& run) {
   Job* const job = FindJob(state, run.m_task.m_job);
@@ -270,6 +284,7 @@
     agent.m_record_asked = true;
   }
   if (new_session) BeginSession(state, agent);
+  OpenReported(state, report);
   OnEnds(state, now, agent, report);
   OnCrashes(state, agent, report);
   DropStrays(state, agent);
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -14,7 +14,7 @@
 /// that a plan need not compute them.
 void ComputeChains(Job& job);
 
-/// Creates the tasks of an occurrence that has become due.
+/// Creates the tasks of an occurrence, unless it is open or closed.
 void OpenOccurrence(Job& job, std::uint32_t number);
 
 /// Adds the task's run to its agent and sets the task to placed.
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(ACutOffWorkerIsWaitedFor);
   CPPUNIT_TEST(AMemberIsRecordedAnewWithItsNextWorker);
   CPPUNIT_TEST(ListedRunsAreAdopted);
+  CPPUNIT_TEST(OccurrencesOfAClockThatWasAheadGoOn);
   CPPUNIT_TEST(ARestartedAgentIsToldWhatItsRunsAre);
   CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
   CPPUNIT_TEST(RecordedProgressIsRestored);
@@ -42,6 +43,39 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against a second run of a task of an occurrence that the former coordinator, whose
+  /// clock was ahead, has opened, and which is not due yet by the clock of the new one.
+  void OccurrencesOfAClockThatWasAheadGoOn() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    auto timed = MakeJob("timed", 2);
+    timed.m_times = 2;
+    timed.m_first_due = site.m_wall + 1000;
+    timed.m_interval_ms = 60'000;
+    Restore(site.m_state, site.m_now, timed);
+    Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + 15s});
+    auto report = site.Report("a");
+    report.m_runs = {{.m_task = Ref("timed", 0), .m_run = 1}};
+    report.m_ends = {{.m_number = 1, .m_task = Ref("timed", 1), .m_run = 1}};
+    (void)site.ReportInNewSession(report);
+    CPPUNIT_ASSERT(site.Stops().empty());
+    site.Advance(2s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+
+    // The second occurrence is not due, and the end that was counted is in the record.
+    const auto& job = site.m_state.m_jobs.at({"timed"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.m_occurrences.size());
+    const auto& tasks = job.m_occurrences.at(0).m_steps[0].m_tasks;
+    CPPUNIT_ASSERT(tasks[0].m_phase == TaskPhase::kPlaced);
+    CPPUNIT_ASSERT(tasks[1].m_phase == TaskPhase::kDone);
+
+    // Occurrences that the job does not have are not opened.
+    report.m_runs = {{.m_task = Ref("timed", 0, 0, 2), .m_run = 1}};
+    (void)site.ReportInNewSession(report);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.m_occurrences.size());
+  }
+
   /// Guards against a record of another writer that ends each coordinator that reads it: an index
   /// beyond the steps, more tasks than fit into memory, or occurrences that never end.
   void OddRecordsOfJobsAreIgnored() {
