--- a/packages/core/tests/fleet/worker_change_test.cc
+++ b/packages/core/tests/fleet/worker_change_test.cc
@@ -37,7 +37,7 @@
     Begin(m_agent, m_now);
     Announce("w1", 1000);
     Answer(1000);
-    (void)OnOrders(m_agent, m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnCoordinatorRead(m_agent, m_now, CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
     OnReportReply(m_agent, m_now,
                   {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = 5s});
   }
