Give up starts that were not sent when their grant has ended

After an agent was frozen, or its worker did not answer, for longer than a grant, a task ran twice at the same time, or again after its end.

The agent kept a start that it had not sent. The coordinator took the run for ended with the grant and started the task elsewhere. The report in the next session listed the start, the reply to it gave a grant, and the agent started the run before the order to stop it arrived.

Give up such starts when the grant has ended, and when the coordinator offers a new session in the same epoch; a start without an answer is stopped.

--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -102,6 +102,21 @@
   run.m_next_call = now;
 }
 
+/// Gives up the starts that the worker has not confirmed when their session or its grant has ended.
+/// The coordinator takes these runs for ended and starts their tasks elsewhere, so a later grant
+/// must not start them.
+void GiveUpStarts(WorkerAgent& agent, const Time now) {
+  std::vector<StartOrder> pending;
+  for (const auto& [task, run] : agent.m_runs) {
+    if (run.m_stage == RunStage::kStarting) pending.push_back(run.m_order);
+  }
+  for (const auto& order : pending) ApplyStop(agent, now, order);
+}
+
+[[nodiscard]] bool HasGrantEnded(const WorkerAgent& agent, const Time now) noexcept {
+  return agent.m_session_granted && now >= agent.m_granted_until;
+}
+
 /// Returns `cpu_millis` as a share of the worker's processors.
 double ShareOf(const WorkerAgent& agent, const double cpu_millis) noexcept {
   const auto capacity = std::max<std::int64_t>(agent.m_worker.m_capacity.m_cpu_millis, 1);
@@ -388,7 +403,8 @@
 }
 
 AgentReport MakeReport(WorkerAgent& agent, const Time now) {
-  const bool session_over = agent.m_session_granted && now >= agent.m_granted_until;
+  const bool session_over = HasGrantEnded(agent, now);
+  if (session_over) GiveUpStarts(agent, now);
   AgentReport report{.m_agent = agent.m_id,
                      .m_rpc_address = agent.m_rpc_address,
                      .m_epoch = agent.m_epoch,
@@ -419,6 +435,8 @@
   if (!reply.m_coordinator.empty()) agent.m_coordinator = reply.m_coordinator;
   if (!reply.m_accepted) return;
   if (reply.m_session != agent.m_session) {
+    // A coordinator that changes adopts the starts that are reported to it.
+    if (agent.m_session != 0) GiveUpStarts(agent, sent);
     agent.m_session = reply.m_session;
     agent.m_last_order = 0;
     agent.m_session_granted = false;
@@ -557,6 +575,7 @@
 void RaiseFence(WorkerAgent& agent) noexcept { agent.m_fence += kFenceStep; }
 
 void Tick(WorkerAgent& agent, const Time now) {
+  if (HasGrantEnded(agent, now)) GiveUpStarts(agent, now);
   if (agent.m_worker.m_reachable || now < agent.m_leased_until) return;
   if (agent.m_runs_known && agent.m_runs.empty()) return;
   agent.m_lapsed_runs = std::exchange(agent.m_runs, {});
