--- a/packages/core/tests/fleet/agent_pending_start_test.cc
+++ b/packages/core/tests/fleet/agent_pending_start_test.cc
@@ -22,7 +22,7 @@
     Begin(m_agent, m_now);
     (void)OnHeartbeat(m_agent, m_now, {.m_id = {"w"}, .m_born = 1000, .m_service = {"desk"}}, 1);
     Hold();
-    (void)OnOrders(m_agent, m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnCoordinatorRead(m_agent, m_now, CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
     Grant(9);
   }
 
