Ignore the reply to a report that names the former worker

What callers could see: a task that ran twice at the same time, or an agent that took no order any more.

Cause: when the worker of an agent changes, its session ends. The reply to a report that was in flight named that session and was taken for the offer of a new one: the numbers of orders began anew and the grant was renewed. An order for the former worker, or a held-up repeat of one that had been carried out, started its run on the next worker; later orders never fitted.

Change: the agent remembers the session that the change has ended and ignores replies in it.

The fixture of WorkerAgentTest begins another session with each worker, as the coordinator does; no check is changed.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -149,6 +149,7 @@
   Epoch m_epoch = 0;
   std::string m_coordinator;
   std::uint64_t m_session = 0;
+  std::uint64_t m_former_session = 0;  ///< Ended by a change of the worker; zero: none.
   std::uint64_t m_last_order = 0;
   bool m_session_granted = false;  ///< The coordinator gave a grant in this session.
   std::uint64_t m_reports = 0;     ///< Number of reports made by this process.
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -344,7 +344,9 @@
   const Resources capacity = agent.m_worker.m_capacity;
   if (other_life) BeginIncarnation(agent, now);
   // Orders of the session are meant for the worker that the member record names.
-  if (!first && worker.m_id != agent.m_worker.m_id) agent.m_session = 0;
+  if (!first && worker.m_id != agent.m_worker.m_id && agent.m_session != 0) {
+    agent.m_former_session = std::exchange(agent.m_session, 0);
+  }
   agent.m_worker = worker;
   agent.m_worker.m_reachable = reachable;
   agent.m_sequence = sequence;
@@ -434,6 +436,8 @@
   }
   if (!reply.m_coordinator.empty()) agent.m_coordinator = reply.m_coordinator;
   if (!reply.m_accepted) return;
+  // Answers a report that was made before the worker changed.
+  if (reply.m_session != 0 && reply.m_session == agent.m_former_session) return;
   if (reply.m_session != agent.m_session) {
     // A coordinator that changes adopts the starts that are reported to it.
     if (agent.m_session != 0) GiveUpStarts(agent, sent);
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -21,6 +21,8 @@
                       .m_service = {"desk"},
                       .m_capacity = {.m_cpu_millis = 4000, .m_memory_mb = 4000}};
 
+  std::uint64_t m_session = 9;
+
   GrantedAgent() {
     Begin(m_agent, m_now);
     OnHeartbeat(m_agent, m_now, m_worker, 1);
@@ -31,7 +33,7 @@
 
   void Grant(const Duration grant) {
     OnReportReply(m_agent, m_now,
-                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = grant});
+                  {.m_accepted = true, .m_epoch = 1, .m_session = m_session, .m_grant = grant});
   }
 
   /// Makes a hold call whose answer lists `runs` and `ends`.
@@ -51,7 +53,7 @@
              const OrderKind kind = OrderKind::kStart) {
     return OnOrders(m_agent, m_now,
                     {.m_epoch = 1,
-                     .m_session = 9,
+                     .m_session = m_session,
                      .m_orders = {{.m_number = number,
                                    .m_kind = kind,
                                    .m_start = {.m_task = kTask, .m_run = run}}}})
@@ -72,8 +74,9 @@
     OnHold(m_agent, m_now, m_now, std::nullopt);
   }
 
-  /// Announces the next incarnation of the worker.
+  /// Announces the next worker, with which the coordinator begins another session.
   void Restart() {
+    ++m_session;
     m_worker.m_id.m_value += "+";
     m_worker.m_born += 1000;
     OnHeartbeat(m_agent, m_now, m_worker, 1);
@@ -132,7 +135,10 @@
     fixture.Grant(5s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Crashes());
     OnReportReply(fixture.m_agent, fixture.m_now,
-                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_recorded_crash = 1000});
+                  {.m_accepted = true,
+                   .m_epoch = 1,
+                   .m_session = fixture.m_session,
+                   .m_recorded_crash = 1000});
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
   }
 
--- a/packages/core/tests/fleet/worker_change_test.cc
+++ b/packages/core/tests/fleet/worker_change_test.cc
@@ -11,6 +11,7 @@
 class WorkerChangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkerChangeTest);
   CPPUNIT_TEST(AnOrderForTheFormerWorkerStartsNothingOnTheNext);
+  CPPUNIT_TEST(AReplyInFlightDoesNotResumeTheSession);
   CPPUNIT_TEST(ARestartedWorkerKeepsTheSession);
   CPPUNIT_TEST_SUITE_END();
 
@@ -26,6 +27,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, MakeReport(m_agent, m_now).m_session);
   }
 
+  /// Guards against an agent that takes up the session of the former worker again, with the reply
+  /// to a report that was in flight: no order of it is accepted any more, or one for the former
+  /// worker starts its run on the next.
+  void AReplyInFlightDoesNotResumeTheSession() {
+    Answer(1000);
+    const auto sent = m_now;
+    Announce("w2", 2000);
+    Answer(2000);
+    OnReportReply(m_agent, sent, {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = 5s});
+    CPPUNIT_ASSERT(!TakesOrder());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, MakeReport(m_agent, m_now).m_session);
+    // The next session begins as usual.
+    OnReportReply(m_agent, m_now,
+                  {.m_accepted = true, .m_epoch = 1, .m_session = 10, .m_grant = 5s});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, MakeReport(m_agent, m_now).m_session);
+  }
+
   void ARestartedWorkerKeepsTheSession() {
     Answer(1000);
     Announce("w1", 2000);
