Confirm a member's record by its request, not by its value

What callers could see: a task that ran twice at the same time (TWICE), after the loss of a coordinator during a slow answer of the store.

Cause: a grant needs the agent's member record in the store. The answer to an append was matched with the member by value: an append of an earlier, equal record counted for a member that had been removed and asked for again since, although its removal had been appended after it. The agent got a grant, and a successor did not know of it.

Change: each request to write a member record has a number, which the batch carries; only the newest one confirms.

Evidence: WorkerChangeTest::ARecordIsNotTakenForTheNextOne fails without the change.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -236,8 +236,10 @@
 struct Agent {
   AgentId m_id;
   std::string m_rpc_address;
-  bool m_recorded = false;      ///< The member record is in the store.
-  bool m_record_asked = false;  ///< The member record is queued or being written.
+  bool m_recorded = false;  ///< The member record is in the store.
+  /// Request by which the member record was last queued; zero: it is not to be written. An append
+  /// that was opened for an earlier request says nothing about the newest record.
+  std::uint64_t m_record_request = 0;
   WorkerInfo m_worker;
   std::uint64_t m_session = 0;      ///< Zero: no session, and the agent takes no orders.
   std::uint64_t m_offered = 0;      ///< Session that the agent has not taken yet; zero: none.
@@ -291,7 +293,11 @@
   std::vector<RecordChange> m_records;
   std::vector<JobId> m_accepted;
   std::vector<std::pair<JobId, JobPhase>> m_recorded_phases;
-  std::vector<MemberRecord> m_members;
+  struct WrittenMember {
+    MemberRecord m_record;
+    std::uint64_t m_request = 0;  ///< See Agent::m_record_request.
+  };
+  std::vector<WrittenMember> m_members;
   struct RecordedEnds {
     AgentId m_agent;
     std::int64_t m_born = 0;
@@ -345,6 +351,7 @@
   std::set<JobId> m_unwritten_jobs;  ///< Jobs whose submission is to be written.
   std::set<JobId> m_unwritten_progress;
   std::set<AgentId> m_unwritten_members;
+  std::uint64_t m_record_requests = 0;  ///< Number of requests to write a member record.
   std::vector<std::string> m_removed_keys;
   std::vector<AdviceRequest> m_advice_requests;
   std::vector<Decision> m_decisions;  ///< Not yet logged by the caller.
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -271,7 +271,8 @@
   }
   agent.m_last_report = report.m_number;
   if (agent.m_rpc_address != report.m_rpc_address || agent.m_worker.m_id != report.m_worker.m_id) {
-    agent.m_recorded = agent.m_record_asked = false;
+    agent.m_recorded = false;
+    agent.m_record_request = 0;
   }
   agent.m_rpc_address = report.m_rpc_address;
   agent.m_worker = report.m_worker;
@@ -280,8 +281,10 @@
   // is written. A new member has no runs.
   state.m_silent_members.erase(report.m_agent);
   if (!agent.m_recorded) {
-    if (!agent.m_record_asked) state.m_unwritten_members.insert(agent.m_id);
-    agent.m_record_asked = true;
+    if (agent.m_record_request == 0) {
+      agent.m_record_request = ++state.m_record_requests;
+      state.m_unwritten_members.insert(agent.m_id);
+    }
   }
   if (new_session) BeginSession(state, agent);
   OpenReported(state, report);
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -16,7 +16,8 @@
 void RemoveSilentMember(Coordinator& state, const AgentId& member, std::string reason) {
   DropMember(state, member);
   auto& agent = state.m_agents[member];
-  agent.m_recorded = agent.m_record_asked = false;
+  agent.m_recorded = false;
+  agent.m_record_request = 0;
   LogFailure(state, "member removed", {}, 0, member, std::move(reason));
 }
 
@@ -31,7 +32,8 @@
   }
   state.m_unwritten_members.erase(agent.m_id);
   if (agent.m_recorded) DropMember(state, agent.m_id);
-  agent.m_recorded = agent.m_record_asked = false;
+  agent.m_recorded = false;
+  agent.m_record_request = 0;
 }
 
 /// Stops a run that makes no progress, so that its task is placed elsewhere.
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -81,8 +81,8 @@
   }
   for (const auto& id : std::exchange(state.m_unwritten_members, {})) {
     const auto& agent = state.m_agents.at(id);
-    batch.m_members.push_back(RecordOf(agent));
-    batch.m_records.emplace_back(batch.m_members.back());
+    batch.m_members.push_back({.m_record = RecordOf(agent), .m_request = agent.m_record_request});
+    batch.m_records.emplace_back(batch.m_members.back().m_record);
   }
   if (std::exchange(state.m_settled_unwritten, false)) {
     batch.m_records.emplace_back(SettledRecord{.m_epoch = state.m_epoch});
@@ -130,9 +130,10 @@
     if (Job* const job = FindJob(state, id)) job->m_recorded_phase = phase;
   }
   for (const auto& member : batch.m_members) {
-    auto& agent = state.m_agents.at(member.m_agent);
-    // The agent may have reported another address or worker while the record was written.
-    agent.m_recorded = agent.m_record_asked && member == RecordOf(agent);
+    auto& agent = state.m_agents.at(member.m_record.m_agent);
+    // While the record was written the member may have been removed, or have reported another
+    // address or worker.
+    if (member.m_request == agent.m_record_request) agent.m_recorded = true;
     ++state.m_workers_added;
   }
   for (const auto& ends : batch.m_ends) {
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -178,7 +178,7 @@
     CPPUNIT_ASSERT(OnReport(site.m_state, site.m_now, report).m_grant == Duration{});
     const auto batch = TakeWrites(site.m_state, site.m_wall);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.m_members.size());
-    CPPUNIT_ASSERT_EQUAL(std::string{"next"}, batch.m_members[0].m_worker.m_value);
+    CPPUNIT_ASSERT_EQUAL(std::string{"next"}, batch.m_members[0].m_record.m_worker.m_value);
     report.m_worker.m_id = {"one after"};
     report.m_number += 100;
     (void)OnReport(site.m_state, site.m_now, report);
--- a/packages/core/tests/fleet/worker_change_test.cc
+++ b/packages/core/tests/fleet/worker_change_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "ebonypin/core/fleet/worker_agent.h"
+#include "fleet_fixture.h"
 
 namespace ebonypin::core::fleet {
 namespace {
@@ -13,6 +14,7 @@
   CPPUNIT_TEST(AnOrderForTheFormerWorkerStartsNothingOnTheNext);
   CPPUNIT_TEST(AReplyInFlightDoesNotResumeTheSession);
   CPPUNIT_TEST(ARestartedWorkerKeepsTheSession);
+  CPPUNIT_TEST(ARecordIsNotTakenForTheNextOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,7 +53,29 @@
     CPPUNIT_ASSERT(TakesOrder());
   }
 
+  /// Guards against a grant to a member whose newest record in the store is its removal: its first
+  /// record is answered after it was removed and asked for again.
+  void ARecordIsNotTakenForTheNextOne() {
+    Site site;
+    (void)site.ReportInNewSession(site.Report("a"));
+    const auto first = TakeWrites(site.m_state, kWall);
+    EndGrantOf(site);
+    (void)site.ReportInNewSession(site.Report("a"));
+    OnWritten(site.m_state, first);
+    CPPUNIT_ASSERT(!site.m_state.m_agents.at({"a"}).m_recorded);
+    const auto second = TakeWrites(site.m_state, kWall);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.m_members.size());
+    OnWritten(site.m_state, second);
+    EndGrantOf(site);
+    const auto removal = TakeWrites(site.m_state, kWall);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, removal.m_members.size());
+    (void)site.ReportInNewSession(site.Report("a"));
+    OnWritten(site.m_state, second);
+    CPPUNIT_ASSERT(OnReport(site.m_state, site.m_now, site.Report("a")).m_grant == Duration{});
+  }
+
   void setUp() override {
+    m_agent = {.m_id = {"a"}, .m_rpc_address = "a", .m_fence = 100};
     Begin(m_agent, m_now);
     Announce("w1", 1000);
     Answer(1000);
@@ -77,7 +101,13 @@
     return OnOrders(m_agent, m_now, {.m_epoch = 1, .m_session = 9, .m_orders = {order}}).m_accepted;
   }
 
-  WorkerAgent m_agent{.m_id = {"a"}, .m_rpc_address = "a", .m_fence = 100};
+  static void EndGrantOf(Site& site) {
+    const auto& options = site.m_state.m_options;
+    site.Advance(options.m_grant + options.m_lapse_slack + 1ms);
+    Tick(site.m_state, site.m_now, site.m_wall);
+  }
+
+  WorkerAgent m_agent;
   Time m_now{1h};
 };
 
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -123,7 +123,7 @@
   }
   for (const auto& batch : result.m_written) {
     OnWritten(m_state, batch);
-    for (const auto& member : batch.m_members) AnnounceTo(member.m_rpc_address);
+    for (const auto& member : batch.m_members) AnnounceTo(member.m_record.m_rpc_address);
   }
   ResumeWaiters();
   ScheduleCycle();
