Record a member anew for each life of its worker

What callers could see: a task that ran twice at the same time (TWICE), after a worker had crashed and come back under its id while the coordinator changed.

Cause: a new coordinator drops a silent member whose worker the platform has not listed for a second. A worker may start again under the id that it had. A former coordinator that is cut off from the store and from its successor, but not from the agent, went on with the member record and the session of the former life, gave a grant and placed the task there, while the successor placed it elsewhere.

Change: the session of an agent ends with each life of its worker, and a report of another life needs a new member record, which a former coordinator cannot write any more. It costs one append and a round trip for each restart of a worker.

--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -79,6 +79,14 @@
   }
 }
 
+/// Returns whether a report names another life of the worker than the one known. A worker that
+/// comes back under its id needs a new member record: a successor may have dropped the member
+/// because the platform did not list the worker meanwhile.
+bool IsOtherLife(const WorkerInfo& known, const WorkerInfo& reported) noexcept {
+  if (known.m_id != reported.m_id) return true;
+  return known.m_born != 0 && known.m_born != reported.m_born;  // Zero: restored from a record.
+}
+
 /// Opens the occurrences that the report names and that are not due yet by this clock. The former
 /// coordinator, whose clock was ahead, has started them: otherwise their runs would be stopped and
 /// their ends dropped as unknown, and their tasks started again.
@@ -270,7 +278,7 @@
     return reply;
   }
   agent.m_last_report = report.m_number;
-  if (agent.m_rpc_address != report.m_rpc_address || agent.m_worker.m_id != report.m_worker.m_id) {
+  if (agent.m_rpc_address != report.m_rpc_address || IsOtherLife(agent.m_worker, report.m_worker)) {
     agent.m_recorded = false;
     agent.m_record_request = 0;
   }
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -46,6 +46,8 @@
   agent.m_sequence = 0;
   agent.m_answered = false;
   agent.m_missed_since = {};
+  // Orders of the session are meant for the life of the worker that the member record stands for.
+  if (agent.m_session != 0) agent.m_former_session = std::exchange(agent.m_session, 0);
   // A delayed start for the previous incarnation has an older fence and is refused.
   ++agent.m_fence;
   agent.m_next_hold = now;
@@ -343,10 +345,6 @@
   const bool draining = agent.m_worker.m_draining;
   const Resources capacity = agent.m_worker.m_capacity;
   if (other_life) BeginIncarnation(agent, now);
-  // Orders of the session are meant for the worker that the member record names.
-  if (!first && worker.m_id != agent.m_worker.m_id && agent.m_session != 0) {
-    agent.m_former_session = std::exchange(agent.m_session, 0);
-  }
   agent.m_worker = worker;
   agent.m_worker.m_reachable = reachable;
   agent.m_sequence = sequence;
