Take no run for lost while the list of ends is incomplete

What callers would see: after a long outage of the store, a task starts again although its first run ends `done`, and both ends are acknowledged.

Cause: a worker lists 500 unacknowledged ends at a time. A run that is neither listed as running nor among these ends may have ended. The agent took it for gone, and the coordinator started it elsewhere. Its end was listed and acknowledged later.

While it is not, the agent goes on reporting such a run until its end is listed.

Not covered: an agent process that starts while more than 500 ends are unacknowledged never knew these runs.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -136,6 +136,7 @@
   std::int64_t m_clock_ms = 0;
   std::vector<ListedRun> m_runs;
   std::vector<RunEnded> m_ends;
+  bool m_ends_complete = true;  ///< If not, the worker may have more ends than it lists at a time.
 };
 
 struct WorkerAgent {
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -228,7 +228,9 @@
     local.m_figure = run.m_figure;
     local.m_checkpoint = run.m_checkpoint;
   }
-  for (auto run = agent.m_runs.begin(); run != agent.m_runs.end();) {
+  // A run that is not listed may have ended; its end is listed once earlier ones are acknowledged.
+  const bool all_ends = answer.m_ends_complete;
+  for (auto run = agent.m_runs.begin(); all_ends && run != agent.m_runs.end();) {
     const LocalRun& local = run->second;
     const auto found = listed.find(run->first);
     const bool present = found != listed.end() && found->second == local.m_order.m_run;
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -35,15 +35,19 @@
   }
 
   /// Makes a hold call whose answer lists `runs` and `ends`.
-  HoldCall Hold(const std::vector<ListedRun>& runs, const std::vector<RunEnded>& ends = {}) {
+  HoldCall Hold(const std::vector<ListedRun>& runs, const std::vector<RunEnded>& ends = {},
+                const bool ends_complete = true) {
     m_now += 100ms;
     const auto sent = m_now;
     auto call = NextHold(m_agent, sent);
     CPPUNIT_ASSERT(call.has_value());
     m_now += 1ms;
-    OnHold(
-        m_agent, sent, m_now,
-        HoldAnswer{.m_born = m_worker.m_born, .m_clock_ms = 5000, .m_runs = runs, .m_ends = ends});
+    OnHold(m_agent, sent, m_now,
+           HoldAnswer{.m_born = m_worker.m_born,
+                      .m_clock_ms = 5000,
+                      .m_runs = runs,
+                      .m_ends = ends,
+                      .m_ends_complete = ends_complete});
     return *call;
   }
 
@@ -99,6 +103,7 @@
   CPPUNIT_TEST(ALateHeartbeatChangesNothing);
   CPPUNIT_TEST(AnIncarnationThatNeverAnsweredGivesWay);
   CPPUNIT_TEST(EndsAreKeptUntilTheyAreRecorded);
+  CPPUNIT_TEST(ARunWhoseEndIsNotListedYetIsNotLost);
   CPPUNIT_TEST(ARunOfAnEarlierAgentIsDescribedAndProtected);
   CPPUNIT_TEST(ADescriptionStartsNothing);
   CPPUNIT_TEST(ADrainingWorkerStartsNothing);
@@ -416,6 +421,21 @@
     }
   }
 
+  /// Guards against a run that is started elsewhere although its end `done` is acknowledged later,
+  /// when the worker has more ends than it lists at a time.
+  void ARunWhoseEndIsNotListedYetIsNotLost() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    (void)fixture.Hold({{.m_task = kTask, .m_run = 1}});
+    const RunEnded other{.m_number = 1, .m_task = {.m_job = {"k"}}, .m_run = 1};
+    const RunEnded end{.m_number = 2, .m_task = kTask, .m_run = 1};
+    (void)fixture.Hold({}, {other}, false);
+    CPPUNIT_ASSERT(fixture.Lists());
+    (void)fixture.Hold({}, {end});
+    CPPUNIT_ASSERT(!fixture.Lists());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, MakeReport(fixture.m_agent, fixture.m_now).m_ends.size());
+  }
+
   /// Guards against an end that is acknowledged to the worker before it is recorded.
   void EndsAreKeptUntilTheyAreRecorded() {
     GrantedAgent fixture;
