Give leases from the last reading of the worker's clock

What callers would see: after a suspension of the machine a run may go on after its task was started elsewhere.

Cause: the deadline of a lease was the last reading of the worker's clock plus the time since then by the agent's clock, which counts a suspension. The worker's steady clock need not count it. The deadline was then too far ahead by the length of the suspension, up to the longest lease of the worker, and the agent's bound and the coordinator's wait were too short.

Change: the last reading stands for the worker's clock, without the time since then. Weighed: adding half a second at most keeps an error of that size, which the margin of 0.2 s after a lease does not cover; giving no lease from an old reading delays starts. The shorter deadline costs nothing as a rule: the holds that extend the leases are sent when the answer to the one before has brought a fresh reading, and a start never shortens a lease.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -160,7 +160,7 @@
   bool m_answered = false;       ///< This incarnation has answered a hold call.
   bool m_runs_known = false;
   Time m_leased_until;          ///< End of all leases given so far, also by earlier agents.
-  std::int64_t m_clock_ms = 0;  ///< Worker's clock at `m_clock_at`.
+  std::int64_t m_clock_ms = 0;  ///< Last reading of the worker's clock, at `m_clock_at`.
   Time m_clock_at;
   std::map<TaskRef, LocalRun> m_runs;
   std::vector<RunEnded> m_ends;
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -65,8 +65,9 @@
                      std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error * lease) +
                      agent.m_options.m_lease_slack;
   agent.m_leased_until = std::max(agent.m_leased_until, bound);
-  const auto deadline = now - agent.m_clock_at + lease;
-  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count();
+  // The last reading stands for the worker's clock. Adding the time since then would overshoot
+  // after a suspension of the machine, which the agent's clock counts and the worker's need not.
+  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
 void ApplyStart(WorkerAgent& agent, const Time now, const StartOrder& order) {
