Use a worker again whose clock has stepped back

What callers would see: a worker gets no work any more, and tasks that only it can run wait for good (LOST).

Cause: `born` comes from the wall clock of the worker's machine. After that clock has stepped back, a new incarnation may have a lower `born` than the last one. The agent took its heartbeats for delayed ones of a former incarnation and never used it again.

Change: an incarnation with a lower `born` is taken once the known one is silent and all leases have ended, about 4 s later. Nothing that runs can be hidden then: if the heartbeat was a delayed one after all, the next heartbeat of the true incarnation replaces it, as after an announcement of another writer.

The fence also comes from the wall clock. No fault was found: a fence that is 10 s behind is raised when the worker refuses it, twice at most, and AFenceFromAClockThatSteppedBackIsRaised guards this. What remains: the crash of an incarnation with a higher `born` than its successor is not counted.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -182,8 +182,8 @@
 /// Initialises an agent that starts at `now`. An earlier agent may have given leases just before.
 void Begin(WorkerAgent& agent, Time now);
 
-/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has
-/// answered, are ignored. Returns whether it announced a new incarnation of the worker.
+/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has answered
+/// and may have runs, are ignored. Returns whether it announced a new incarnation of the worker.
 bool OnHeartbeat(WorkerAgent& agent, Time now, const WorkerInfo& worker, std::uint64_t sequence);
 
 /// Handles the coordinator's record as read from the store; nullopt: the store has none.
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -325,7 +325,10 @@
       !first && (worker.m_id != agent.m_worker.m_id || worker.m_born != agent.m_worker.m_born);
   // An incarnation that has not answered yet may be one that another writer has announced. For the
   // same reason the leases of the former one count until the new one answers.
-  if (other_life && agent.m_answered && worker.m_born <= agent.m_worker.m_born) return false;
+  // A silent one without leases may have been replaced by one whose wall clock had stepped back.
+  const bool may_run = agent.m_worker.m_reachable || now < agent.m_leased_until;
+  const bool later = worker.m_born > agent.m_worker.m_born;
+  if (other_life && agent.m_answered && may_run && !later) return false;
   if (!first && !other_life && sequence < agent.m_sequence) return false;
   const bool reachable = agent.m_worker.m_reachable && !other_life;
   const bool draining = agent.m_worker.m_draining;
--- a/packages/core/tests/fleet/worker_agent_restart_test.cc
+++ b/packages/core/tests/fleet/worker_agent_restart_test.cc
@@ -84,6 +84,9 @@
   CPPUNIT_TEST(ARestartedAgentObeysNoFormerCoordinator);
   CPPUNIT_TEST(AnAgentBesideAnEmptyStoreTakesTheFirstCoordinator);
   CPPUNIT_TEST(ALeaseAfterASuspensionEndsByTheWorkersClock);
+  CPPUNIT_TEST(AnIncarnationWithAnEarlierBirthIsUsedOnceTheFormerIsGone);
+  CPPUNIT_TEST(ADelayedHeartbeatReplacesNoWorkerThatMayRunTasks);
+  CPPUNIT_TEST(AFenceFromAClockThatSteppedBackIsRaised);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -175,6 +178,63 @@
     CPPUNIT_ASSERT(hold->m_deadline_ms > 0 && hold->m_deadline_ms <= latest);
   }
 
+  /// Guards against an agent that ignores its worker for good after the wall clock, from which
+  /// `born` comes, has stepped back between two incarnations.
+  void AnIncarnationWithAnEarlierBirthIsUsedOnceTheFormerIsGone() {
+    for (const auto* id : {"w", "other"}) {
+      StartedAgent fixture;
+      fixture.Announce(20'000);
+      fixture.Hold(20'000, {kRun});
+      fixture.m_worker.m_id = {id};
+      // Until the leases of the former incarnation have ended, this may be a delayed heartbeat.
+      CPPUNIT_ASSERT(!fixture.Announce(10'000));
+      fixture.Hold(10'000);
+      fixture.m_now += 7s;
+      CPPUNIT_ASSERT(fixture.Announce(10'000));
+      fixture.Hold(10'000);
+      const auto report = fixture.Report();
+      CPPUNIT_ASSERT(report.m_runs_known && report.m_runs.empty());
+      CPPUNIT_ASSERT(report.m_worker.m_reachable);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{10'000}, report.m_worker.m_born);
+      CPPUNIT_ASSERT_EQUAL(std::string{id}, report.m_worker.m_id.m_value);
+    }
+  }
+
+  /// Guards against a delayed heartbeat of a former incarnation that replaces a worker which
+  /// answers, or whose runs are leased, and against one that hides a silent worker for good.
+  void ADelayedHeartbeatReplacesNoWorkerThatMayRunTasks() {
+    StartedAgent fixture;
+    fixture.Announce(1000);
+    fixture.Hold(1000, {kRun});
+    fixture.m_now += 7s;
+    CPPUNIT_ASSERT(!fixture.Announce(900));
+    fixture.Grant(5s);
+    fixture.FallSilent();
+    CPPUNIT_ASSERT(!fixture.Announce(900));
+    fixture.m_now += 4s;
+    CPPUNIT_ASSERT(fixture.Announce(900));
+    CPPUNIT_ASSERT(fixture.Announce(1000));
+    fixture.Hold(1000, {kRun});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Report().m_runs.size());
+  }
+
+  /// Guards against an agent whose calls its worker refuses for long, because the clock from which
+  /// the fence comes has stepped back by 10 s between two agent processes.
+  void AFenceFromAClockThatSteppedBackIsRaised() {
+    StartedAgent fixture;
+    fixture.m_agent.m_fence = std::uint64_t{1'800'000'000'000} << 10U;
+    const auto fence_of_worker = (std::uint64_t{1'800'000'010'000} << 10U) + 1;
+    fixture.Announce(1000);
+    int refused = 0;
+    for (; fixture.m_agent.m_fence < fence_of_worker && refused < 3; ++refused) {
+      RaiseFence(fixture.m_agent);
+      fixture.FallSilent();
+    }
+    CPPUNIT_ASSERT_EQUAL(2, refused);
+    fixture.Hold(1000, {kRun});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Report().m_runs.size());
+  }
+
   /// Guards against agents of a new deployment that wait for a record which nobody has written.
   void AnAgentBesideAnEmptyStoreTakesTheFirstCoordinator() {
     StartedAgent fixture;
