--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -79,6 +79,20 @@
   }
 }
 
+/// Opens the occurrences that the report names and that are not due yet by this clock. The former
+/// coordinator, whose clock was ahead, has started them: otherwise their runs would be stopped and
+/// their ends dropped as unknown, and their tasks started again.
+void OpenReported(Coordinator& state, const AgentReport& report) {
+  const auto open = [&](const TaskRef& task) {
+    Job* const job = FindJob(state, task.m_job);
+    if (job == nullptr || job->m_closed || task.m_occurrence >= job->m_spec.m_times) return;
+    OpenOccurrence(*job, task.m_occurrence);
+  };
+  for (const auto& run : report.m_runs) open(run.m_task);
+  for (const auto& end : report.m_ends) open(end.m_task);
+  for (const auto& crash : report.m_crashed) open(crash.m_task);
+}
+
 /// Handles a listed run: adopts it, updates its progress, or stops it when it is a stray run.
 void OnRun(Coordinator& state, const Time now, Agent& agent, const RunStatus& run) {
   Job* const job = FindJob(state, run.m_task.m_job);
@@ -92,7 +106,6 @@
     task->m_placed = now;
     task->m_progressed = now;
     task->m_order = 0;
-    job->m_begun = true;
     AddPlacedRun(state, agent, run.m_task, *task);
     LogDecision(state, "run adopted", run.m_task, run.m_run, agent.m_id, "listed by its agent");
   }
@@ -100,6 +113,7 @@
       task->m_run != run.m_run) {
     return StopStrayRun(state, agent, run, "another run of the task is current");
   }
+  job->m_begun = true;
   if (run.m_percent != task->m_percent) {
     task->m_percent = run.m_percent;
     task->m_progressed = now;
@@ -270,6 +284,7 @@
     agent.m_record_asked = true;
   }
   if (new_session) BeginSession(state, agent);
+  OpenReported(state, report);
   OnEnds(state, now, agent, report);
   OnCrashes(state, agent, report);
   DropStrays(state, agent);
