--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -136,6 +136,7 @@
   std::int64_t m_clock_ms = 0;
   std::vector<ListedRun> m_runs;
   std::vector<RunEnded> m_ends;
+  bool m_ends_complete = true;  ///< If not, the worker may have more ends than it lists at a time.
 };
 
 struct WorkerAgent {
@@ -160,7 +161,7 @@
   bool m_answered = false;       ///< This incarnation has answered a hold call.
   bool m_runs_known = false;
   Time m_leased_until;          ///< End of all leases given so far, also by earlier agents.
-  std::int64_t m_clock_ms = 0;  ///< Worker's clock at `m_clock_at`.
+  std::int64_t m_clock_ms = 0;  ///< Last reading of the worker's clock, at `m_clock_at`.
   Time m_clock_at;
   std::map<TaskRef, LocalRun> m_runs;
   std::vector<RunEnded> m_ends;
@@ -182,8 +183,8 @@
 /// Initialises an agent that starts at `now`. An earlier agent may have given leases just before.
 void Begin(WorkerAgent& agent, Time now);
 
-/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has
-/// answered, are ignored. Returns whether it announced a new incarnation of the worker.
+/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has answered
+/// and may have runs, are ignored. Returns whether it announced a new incarnation of the worker.
 bool OnHeartbeat(WorkerAgent& agent, Time now, const WorkerInfo& worker, std::uint64_t sequence);
 
 /// Handles the coordinator's record as read from the store; nullopt: the store has none.
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -67,8 +67,9 @@
                      std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error * lease) +
                      agent.m_options.m_lease_slack;
   agent.m_leased_until = std::max(agent.m_leased_until, bound);
-  const auto deadline = now - agent.m_clock_at + lease;
-  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count();
+  // The last reading stands for the worker's clock. Adding the time since then would overshoot
+  // after a suspension of the machine, which the agent's clock counts and the worker's need not.
+  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
 void ApplyStart(WorkerAgent& agent, const Time now, const StartOrder& order) {
@@ -245,7 +246,9 @@
     local.m_figure = run.m_figure;
     local.m_checkpoint = run.m_checkpoint;
   }
-  for (auto run = agent.m_runs.begin(); run != agent.m_runs.end();) {
+  // A run that is not listed may have ended; its end is listed once earlier ones are acknowledged.
+  const bool all_ends = answer.m_ends_complete;
+  for (auto run = agent.m_runs.begin(); all_ends && run != agent.m_runs.end();) {
     const LocalRun& local = run->second;
     const auto found = listed.find(run->first);
     const bool present = found != listed.end() && found->second == local.m_order.m_run;
@@ -339,7 +342,10 @@
       !first && (worker.m_id != agent.m_worker.m_id || worker.m_born != agent.m_worker.m_born);
   // An incarnation that has not answered yet may be one that another writer has announced. For the
   // same reason the leases of the former one count until the new one answers.
-  if (other_life && agent.m_answered && worker.m_born <= agent.m_worker.m_born) return false;
+  // A silent one without leases may have been replaced by one whose wall clock had stepped back.
+  const bool may_run = agent.m_worker.m_reachable || now < agent.m_leased_until;
+  const bool later = worker.m_born > agent.m_worker.m_born;
+  if (other_life && agent.m_answered && may_run && !later) return false;
   if (!first && !other_life && sequence < agent.m_sequence) return false;
   const bool reachable = agent.m_worker.m_reachable && !other_life;
   const bool draining = agent.m_worker.m_draining;
