End a grant only when leadership was confirmed after it

What callers saw: a task ran twice at the same time, or again after its end (TWICE), when the coordinator was cut off from the store with some of the agents for longer than a grant. One change of coordinator is enough.

Cause: a coordinator acts for 10 s after its last confirmation. It took an agent that it did not hear from for lost after 5.6 s, when its own grant had ended, and started the tasks at the agents that it still reached. Meanwhile the agent had gone over to the successor, active after 1.1 to 2 s, under whose grants its runs went on. The same holds for silent members when the wait of a new coordinator ends. The wait of a successor protects it from its predecessors; nothing protected its runs from a predecessor that still has authority.

Change: a grant, and the wait for silent members, counts as ended only if it had ended when the leadership was last confirmed: no successor had fenced the store by then, so nobody else had given a grant. The coordinator asks the store as soon as the end of a grant depends on it and acts on the answer. Without the store, lost agents are noticed when it answers again.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -407,8 +407,14 @@
 void OnLiveWorkers(Coordinator& state, Time asked, const std::set<WorkerId>& workers);
 
 /// Handles expired grants, stalled runs, runs on draining workers, slow filling tasks and closed
-/// jobs whose retention has ended. Call it periodically.
-void Tick(Coordinator& state, Time now, WallMillis wall);
+/// jobs whose retention has ended. Call it periodically. `confirmed` is when the leadership was
+/// last confirmed (see Leadership): a grant, or the wait for silent members, counts as ended only
+/// if it had ended by then, because later the agent may have gone over to a successor, under whose
+/// grants its runs go on.
+void Tick(Coordinator& state, Time now, WallMillis wall, Time confirmed);
+
+/// Returns whether a grant has ended for which a later confirmation than `confirmed` is needed.
+[[nodiscard]] bool NeedsConfirmation(const Coordinator& state, Time now, Time confirmed) noexcept;
 
 /// Places ready tasks on workers by adding start orders to their agents. Call it only while the
 /// coordinator may act (see MayAct in leadership.h).
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -21,6 +21,18 @@
   LogFailure(state, "member removed", {}, 0, member, std::move(reason));
 }
 
+/// Returns whether the agent's last grant, and each lease that comes from it, had ended by `time`.
+[[nodiscard]] bool HadGrantEnded(const Coordinator& state, const Agent& agent,
+                                 const Time time) noexcept {
+  return agent.m_session != 0 &&
+         time - agent.m_granted > state.m_options.m_grant + state.m_options.m_lapse_slack;
+}
+
+/// Returns whether members are silent whose grants of earlier epochs had ended by `time`.
+[[nodiscard]] bool HasSilentWaitEnded(const Coordinator& state, const Time time) noexcept {
+  return !state.m_silent_members.empty() && time >= state.m_silent_wait.m_until;
+}
+
 void EndGrant(Coordinator& state, const Time now, Agent& agent) {
   agent.m_session = 0;
   agent.m_orders.clear();
@@ -133,12 +145,19 @@
   }
 }
 
-void Tick(Coordinator& state, const Time now, const WallMillis wall) {
-  const Duration limit = state.m_options.m_grant + state.m_options.m_lapse_slack;
+bool NeedsConfirmation(const Coordinator& state, const Time now, const Time confirmed) noexcept {
+  if (HasSilentWaitEnded(state, now) && !HasSilentWaitEnded(state, confirmed)) return true;
+  return std::any_of(state.m_agents.begin(), state.m_agents.end(), [&](const auto& entry) {
+    const Agent& agent = entry.second;
+    return HadGrantEnded(state, agent, now) && !HadGrantEnded(state, agent, confirmed);
+  });
+}
+
+void Tick(Coordinator& state, const Time now, const WallMillis wall, const Time confirmed) {
   for (auto& [id, agent] : state.m_agents) {
     if (agent.m_session == 0) continue;
-    if (now - agent.m_granted > limit) {
-      EndGrant(state, now, agent);
+    if (HadGrantEnded(state, agent, now)) {
+      if (HadGrantEnded(state, agent, confirmed)) EndGrant(state, now, agent);
       continue;
     }
     // A run that is ordered to stop stays placed until its end is reported.
@@ -150,7 +169,7 @@
       CheckPlacement(state, now, agent, ref, *task);
     }
   }
-  if (!state.m_silent_members.empty() && now >= state.m_silent_wait.m_until) {
+  if (HasSilentWaitEnded(state, now) && HasSilentWaitEnded(state, confirmed)) {
     for (const auto& [id, member] : state.m_silent_members) {
       RemoveSilentMember(state, id, "silent since the coordinator changed");
     }
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -118,7 +118,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
     CPPUNIT_ASSERT_EQUAL(std::string{"new"}, starts[0].second.m_task.m_job.m_value);
     site.Advance(15s);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     site.Join("b");
     CPPUNIT_ASSERT(site.m_state.m_silent_members.empty());
     const auto later = site.Starts();
@@ -244,7 +244,7 @@
     before.m_state.m_pairs.m_pairs[{{"watch"}, {"press"}}] = {.m_growth = 2.5,
                                                               .m_learned = before.m_now};
     before.m_state.m_pairs_changed = true;
-    Tick(before.m_state, before.m_now, before.m_wall);
+    Tick(before.m_state, before.m_now, before.m_wall, before.m_now);
     Site after;
     after.m_state.m_epoch = 2;
     for (const auto& change : TakeWrites(before.m_state, before.m_wall).m_records) {
@@ -258,7 +258,7 @@
                          IdleLatency(after.m_state.m_pairs, {"watch"}));
     before.Advance(1s);
     before.m_state.m_pairs_changed = true;
-    Tick(before.m_state, before.m_now, before.m_wall);
+    Tick(before.m_state, before.m_now, before.m_wall, before.m_now);
     CPPUNIT_ASSERT(!before.m_state.m_unwritten_pairs);
   }
 
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -246,10 +246,10 @@
     (void)site.End("a", 1, Ref("j"), 1, RunOutcome::kDone);
     site.Write();
     site.Advance(site.m_state.m_options.m_closed_retention - 1s);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.m_state.m_jobs.size());
     site.Advance(2s);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(site.m_state.m_jobs.empty());
     std::set<std::string> removed;
     for (const auto& change : TakeWrites(site.m_state, site.m_wall).m_records) {
@@ -301,7 +301,7 @@
     Site site;
     site.Join("a");
     site.Advance(site.m_state.m_options.m_grant + site.m_state.m_options.m_lapse_slack + 1ms);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     (void)site.ReportInNewSession(site.Report("a"));
     const auto batch = TakeWrites(site.m_state, site.m_wall);
     CPPUNIT_ASSERT(std::holds_alternative<RemovedRecord>(batch.m_records.front()));
@@ -318,12 +318,12 @@
     const auto silent = site.m_now;
     while (site.m_now - silent <=
            site.m_state.m_options.m_grant + site.m_state.m_options.m_lapse_slack) {
-      Tick(site.m_state, site.m_now, site.m_wall);
+      Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
       (void)OnReport(site.m_state, site.m_now, site.Report("b"));
       CPPUNIT_ASSERT(site.Starts().empty());
       site.Advance(100ms);
     }
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     site.Advance(200ms);
     const auto starts = site.Starts();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
@@ -490,7 +490,7 @@
       report.m_runs = {{.m_task = Ref("j"), .m_run = 1, .m_percent = 30}};
       (void)OnReport(site.m_state, site.m_now, report);
       (void)OnReport(site.m_state, site.m_now, site.Report("b"));
-      Tick(site.m_state, site.m_now, site.m_wall);
+      Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
       site.Advance(100ms);
     }
     CPPUNIT_ASSERT(site.Stops() == std::vector<TaskRef>{Ref("j")});
@@ -521,7 +521,7 @@
         report.m_runs = {{.m_task = Ref("j"), .m_run = run}};
         (void)OnReport(site.m_state, site.m_now, report);
       }
-      Tick(site.m_state, site.m_now, site.m_wall);
+      Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
       site.Advance(100ms);
     }
     CPPUNIT_ASSERT(longest > 10s);
@@ -571,7 +571,7 @@
     (void)OnReport(site.m_state, site.m_now, report);
     site.Accept(MakeJob("k"));
     CPPUNIT_ASSERT(site.Starts().empty());
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(site.Stops() == std::vector<TaskRef>{Ref("j")});
   }
 
--- a/packages/core/tests/fleet/crash_test.cc
+++ b/packages/core/tests/fleet/crash_test.cc
@@ -42,7 +42,7 @@
     Advance(kStep);
     for (const auto& agent : kAgents) StepWorker(agent);
     Write();
-    Tick(m_state, m_now, m_wall);
+    Tick(m_state, m_now, m_wall, m_now);
     for (const auto& [agent, start] : Starts()) {
       const TaskRef& task = start.m_task;
       m_workers[agent].m_runs[task] = {.m_run = start.m_run, .m_started = m_now};
--- a/packages/core/tests/fleet/evacuation_test.cc
+++ b/packages/core/tests/fleet/evacuation_test.cc
@@ -88,7 +88,7 @@
     (void)OnReport(site.m_state, site.m_now, report);
     OnOrdersTaken(site.m_state, {"a"}, report.m_session, 1);
     SetEvacuations(site.m_state, {"north"});
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(site.Stops().empty());
   }
 
--- a/packages/core/tests/fleet/filling_room_test.cc
+++ b/packages/core/tests/fleet/filling_room_test.cc
@@ -85,7 +85,7 @@
     Site site = MixedSite();
     site.Advance(kStay);
     ReportAll(site);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(site.Stops() == std::vector<TaskRef>{Ref("two-b")});
   }
 
@@ -98,7 +98,7 @@
     PlaceAt(site, "fill-b", "b");
     site.Advance(kStay);
     ReportAll(site);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     const auto stops = site.Stops();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stops.size());
     CPPUNIT_ASSERT(std::find(stops.begin(), stops.end(), Ref("two")) != stops.end());
@@ -111,7 +111,7 @@
     step.m_waits = false;
     site.Advance(kStay);
     ReportAll(site);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(site.Stops().empty());
   }
 
@@ -120,7 +120,7 @@
     site.m_state.m_options.m_min_room_gain = 1000.0;
     site.Advance(kStay);
     ReportAll(site);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(site.Stops().empty());
   }
 
@@ -134,7 +134,7 @@
     auto& tasks = site.m_state.m_jobs.at({"wide"}).m_occurrences.at(0).m_steps[0].m_tasks;
     tasks[1].m_percent = 60;
     tasks[1].m_progressed = site.m_now;
-    for (int i = 0; i < 4; ++i) Tick(site.m_state, site.m_now, site.m_wall);
+    for (int i = 0; i < 4; ++i) Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     for (const auto& ref : site.Stops()) CPPUNIT_ASSERT(ref.m_job.m_value != "wide");
   }
 
--- a/packages/core/tests/fleet/history_test.cc
+++ b/packages/core/tests/fleet/history_test.cc
@@ -367,7 +367,7 @@
     const bool newest = index + 1 == m_terms.size();
     if (newest && !Chance(0.3)) term.m_leadership.m_confirmed = m_now;
     if (!MayAct(term.m_leadership, m_now)) return;
-    Tick(term.m_state, m_now, kWall);
+    Tick(term.m_state, m_now, kWall, term.m_leadership.m_confirmed);
     Plan(term.m_state, m_now, kWall);
     for (auto& [id, agent] : term.m_state.m_agents) SendOrders(index, agent);
     // Writes of former coordinators are fenced; those of the current coordinator may be delayed.
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -305,7 +305,7 @@
         report.m_runs = {{.m_task = Ref("press"), .m_run = 1, .m_figure = cpu_in_use}};
         (void)OnReport(site.m_state, site.m_now, report);
         (void)OnReport(site.m_state, site.m_now, site.Report("b"));
-        Tick(site.m_state, site.m_now, site.m_wall);
+        Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
       }
     };
     play(900.0);
--- a/packages/core/tests/fleet/takeover_wait_test.cc
+++ b/packages/core/tests/fleet/takeover_wait_test.cc
@@ -127,17 +127,17 @@
     Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
     Restore(site.m_state, SettledRecord{.m_epoch = 7});
     FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + kLongest});
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(!HasWrites(site.m_state));
     CPPUNIT_ASSERT(EarlierGrantsLeft(site.m_state, site.m_now + 1s) == kLongest - 1s);
     site.Join("a");
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(EarlierGrantsLeft(site.m_state, site.m_now) == Duration{});
     const auto records = TakeWrites(site.m_state, site.m_wall).m_records;
     CPPUNIT_ASSERT(std::any_of(records.begin(), records.end(), [](const RecordChange& record) {
       return record == RecordChange{SettledRecord{.m_epoch = 8}};
     }));
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(!HasWrites(site.m_state));
   }
 
@@ -145,7 +145,7 @@
   void ACoordinatorWithoutAgentsAppendsNothing() {
     Site site;
     FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + kLongest});
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     CPPUNIT_ASSERT(!HasWrites(site.m_state));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeWrites(site.m_state, site.m_wall).m_records.size());
   }
--- a/packages/core/tests/fleet/worker_change_test.cc
+++ b/packages/core/tests/fleet/worker_change_test.cc
@@ -125,7 +125,7 @@
   static void EndGrantOf(Site& site) {
     const auto& options = site.m_state.m_options;
     site.Advance(options.m_grant + options.m_lapse_slack + 1ms);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
   }
 
   WorkerAgent m_agent;
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -119,12 +119,12 @@
   }
   if (!result.m_written.empty()) {
     if (was_failing) LogEvent(kLogAvailable, {{"topic", m_options.m_jobs_topic}});
-    m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
   }
   for (const auto& batch : result.m_written) {
     OnWritten(m_state, batch);
     for (const auto& member : batch.m_members) AnnounceTo(member.m_record.m_rpc_address);
   }
+  if (!result.m_written.empty()) OnConfirmed(sent);
   ResumeWaiters();
   ScheduleCycle();
 }
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -366,11 +366,23 @@
   return {.m_name = kWriterName, .m_epoch = m_leadership.m_epoch, .m_sequence = sequence};
 }
 
+void CoordinatorService::OnConfirmed(const core::Time sent) {
+  const auto now = BootNow();
+  const bool was_needed = NeedsConfirmation(m_state, now, m_leadership.m_confirmed);
+  m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
+  if (!was_needed || !MayAct(m_leadership, now)) return;
+  core::fleet::Tick(m_state, now, WallNow(), m_leadership.m_confirmed);
+  ScheduleCycle();
+}
+
 /// Asks the store whether a later epoch exists, unless a recent append has confirmed the
-/// leadership.
+/// leadership. Asks at once when the end of a grant depends on it.
 void CoordinatorService::ConfirmLeadership() {
   const auto sent = BootNow();
-  if (!m_appends.m_open.empty() || sent - m_leadership.m_confirmed < kConfirmInterval) return;
+  const auto confirmed = m_leadership.m_confirmed;
+  const bool due = sent - confirmed >= kConfirmInterval ||
+                   core::fleet::NeedsConfirmation(m_state, sent, confirmed);
+  if (!m_appends.m_open.empty() || !due) return;
   m_store.Append(m_options.m_jobs_topic, {}, {.m_writer = Writer(m_appends.m_last_sequence)},
                  [this, events = m_events, sent,
                   epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
@@ -379,9 +391,7 @@
                      if (reply.m_status == AppendStatus::kFenced) {
                        return BecomeFollower("confirmation failed: " + reply.m_reason);
                      }
-                     if (reply.m_status == AppendStatus::kAppended) {
-                       m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
-                     }
+                     if (reply.m_status == AppendStatus::kAppended) OnConfirmed(sent);
                    });
                  });
 }
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -198,7 +198,7 @@
   if (!IsActive()) return;
   ConfirmLeadership();
   if (MayAct(m_leadership, now)) {
-    core::fleet::Tick(m_state, now, WallNow());
+    core::fleet::Tick(m_state, now, WallNow(), m_leadership.m_confirmed);
     for (const auto& [id, agent] : m_state.m_agents) {
       const bool silent = agent.m_session == 0 || now - agent.m_granted > 2s;
       if (silent && agent.m_recorded) AnnounceTo(agent.m_rpc_address);
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -124,6 +124,9 @@
   void JoinOnce();
   void LeaveGroup();
   void ConfirmLeadership();
+  /// Notes that the store accepted an append of this epoch that was sent at `sent`, and ends the
+  /// grants that waited for it.
+  void OnConfirmed(core::Time sent);
   /// Returns the writer identity of the next append. The store refuses appends of earlier epochs.
   [[nodiscard]] platform::StoreWriter Writer(std::uint64_t sequence) const;
   void Claim();
