Let a fleet role listen at another address than others connect to

`[process] rpc` is the address that a process gives to the others through the store, and was also the address at which it listens, so nothing could stand between two processes. With `rpc_listen` a fleet role listens elsewhere. Scenarios of real processes use it to cut single connections with a proxy; an operator can use it behind an address translation.

Unset, nothing changes.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -18,9 +18,11 @@
   std::string m_role;  ///< "entry", "agent", "fleet_entry" or "fleet_agent".
   std::string m_id;    ///< Unique name of this process.
   std::string m_region = "main";
-  std::string m_domain;             ///< Failure domain.
-  std::string m_http_address;       ///< "ip:port"; entries serve callers and operators here.
-  std::string m_rpc_address;        ///< "ip:port".
+  std::string m_domain;        ///< Failure domain.
+  std::string m_http_address;  ///< "ip:port"; entries serve callers and operators here.
+  std::string m_rpc_address;   ///< "ip:port".
+  /// "ip:port"; fleet roles listen here for RPC when others reach `m_rpc_address` through a proxy.
+  std::string m_rpc_listen_address;
   std::string m_metrics_address;    ///< "ip:port"; empty: no metrics.
   std::string m_readiness_address;  ///< "ip:port"; the load balancer probes fleet entries here.
   std::string m_control_address;    ///< "ip:port"; fleet agents receive worker heartbeats here.
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -177,6 +177,10 @@
       Key("process", "rpc", OwnAddress(&S::m_rpc_address),
           {.m_required = RequiredBy::kAllRoles, .m_example = "127.0.0.1:7101"},
           "Address for other processes of the system."),
+      Key("process", "rpc_listen", ListenAddress(&S::m_rpc_listen_address),
+          {.m_example = "127.0.0.1:7111"},
+          "Address at which a fleet role listens when others reach `rpc` through a proxy; `rpc` "
+          "when unset."),
       Key("process", "http", OwnAddress(&S::m_http_address),
           {.m_required = RequiredBy::kBothEntries, .m_example = "127.0.0.1:7001"},
           "Address for callers and operators."),
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -90,7 +90,9 @@
 std::unique_ptr<wire::Rpc> StartRpc(
     const config::Settings& settings, const std::shared_ptr<EventThread>& events,
     std::function<void(const core::Message&, wire::ReplyFunction)> serve) {
-  const auto address = ParseAddress(settings.m_rpc_address, "process.rpc");
+  const auto address = settings.m_rpc_listen_address.empty()
+                           ? ParseAddress(settings.m_rpc_address, "process.rpc")
+                           : ParseAddress(settings.m_rpc_listen_address, "process.rpc_listen");
   return std::make_unique<wire::Rpc>(
       wire::RpcOptions{.m_listen_ip = address.m_ip,
                        .m_listen_port = address.m_port,
