Keep the times of runs in the stand-in of a worker

Scenarios could only count starts and runs in progress, so two runs of a task at once showed only while a test looked. The stand-in now keeps start, end and acknowledgement of the newest 10,000 runs and lists them at /sim/runs. An end has the time at which the run's work or its lease was over, and counts as acknowledged unless the lease lapsed before the acknowledgement.

A hold that arrives after the lease has lapsed, and before the stand-in's next tick, extended it; now the runs end, as the platform's page says.

--- a/packages/standin/src/run_worker/run_worker_sim.cc
+++ b/packages/standin/src/run_worker/run_worker_sim.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <tuple>
 
 namespace ebonypin::standin {
 namespace {
@@ -11,8 +12,24 @@
 constexpr milliseconds kLongestLease{6000};
 constexpr milliseconds kForEver{std::chrono::hours{24}};
 
-void End(RunWorkerSim& worker, const std::string& task, const std::string& how) {
+/// Returns the times of a run, or null when they are no longer kept.
+SimRunTimes* FindTimes(RunWorkerSim& worker, const std::string& task, const std::uint64_t run) {
+  const auto found =
+      std::find_if(worker.m_times.rbegin(), worker.m_times.rend(),
+                   [&](const auto& times) { return times.m_task == task && times.m_run == run; });
+  return found == worker.m_times.rend() ? nullptr : &*found;
+}
+
+/// Runs whose times are kept; a bound on the memory of a stand-in that runs for long.
+constexpr std::size_t kMaxTimes = 10'000;
+
+void End(RunWorkerSim& worker, const WorkerTime at, const std::string& task,
+         const std::string& how) {
   const auto run = worker.m_runs.at(task).m_run;
+  if (auto* const times = FindTimes(worker, task, run)) {
+    times->m_ended = at;
+    times->m_how = how;
+  }
   worker.m_runs.erase(task);
   auto& closed = worker.m_closed[task];
   closed = std::max(closed, run);
@@ -51,15 +68,17 @@
 }
 
 void Advance(RunWorkerSim& worker, const WorkerTime now) {
-  std::vector<std::pair<std::string, std::string>> over;
+  if (now >= worker.m_deadline) worker.m_last_lapse = worker.m_deadline;
+  std::vector<std::tuple<WorkerTime, std::string, std::string>> over;
   for (const auto& [task, run] : worker.m_runs) {
-    if (now - run.m_started >= run.m_length) {
-      over.emplace_back(task, run.m_end);
+    const auto finish = run.m_started + run.m_length;
+    if (now >= finish) {
+      over.emplace_back(finish, task, run.m_end);
     } else if (now >= worker.m_deadline) {
-      over.emplace_back(task, "lapsed");
+      over.emplace_back(worker.m_deadline, task, "lapsed");
     }
   }
-  for (const auto& [task, how] : over) End(worker, task, how);
+  for (const auto& [at, task, how] : over) End(worker, at, task, how);
 }
 
 bool TakeFence(RunWorkerSim& worker, const std::uint64_t fence) {
@@ -69,6 +88,7 @@
 }
 
 void Extend(RunWorkerSim& worker, const WorkerTime now, const std::int64_t deadline_ms) {
+  Advance(worker, now);  // A lease that has lapsed cannot be extended.
   const auto asked = worker.m_born + milliseconds{deadline_ms};
   worker.m_deadline = std::max(worker.m_deadline, std::min(asked, now + kLongestLease));
 }
@@ -84,6 +104,8 @@
   if (there != worker.m_runs.end() || run <= worker.m_closed[task]) return "old";
   ++worker.m_starts;
   worker.m_runs[task] = MakeRun(run, now, payload);
+  worker.m_times.push_back({.m_task = task, .m_run = run, .m_started = now});
+  if (worker.m_times.size() > kMaxTimes) worker.m_times.pop_front();
   return {};
 }
 
@@ -91,13 +113,20 @@
           const std::uint64_t run) {
   Advance(worker, now);
   const auto there = worker.m_runs.find(task);
-  if (there != worker.m_runs.end() && there->second.m_run <= run) End(worker, task, "stopped");
+  if (there != worker.m_runs.end() && there->second.m_run <= run) {
+    End(worker, now, task, "stopped");
+  }
   auto& closed = worker.m_closed[task];
   closed = std::max(closed, run);
 }
 
 void Forget(RunWorkerSim& worker, const std::uint64_t seen_end) {
-  std::erase_if(worker.m_ends, [&](const SimEnd& end) { return end.m_number <= seen_end; });
+  std::erase_if(worker.m_ends, [&](const SimEnd& end) {
+    if (end.m_number > seen_end) return false;
+    auto* const times = FindTimes(worker, end.m_task, end.m_run);
+    if (times != nullptr) times->m_acknowledged = worker.m_last_lapse <= times->m_ended;
+    return true;
+  });
 }
 
 }  // namespace ebonypin::standin
--- a/packages/standin/src/run_worker/run_worker_sim.h
+++ b/packages/standin/src/run_worker/run_worker_sim.h
@@ -3,7 +3,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,17 @@
   std::string m_how;
 };
 
+/// Times of a run, for checks of what ran when.
+struct SimRunTimes {
+  std::string m_task;
+  std::uint64_t m_run = 0;
+  WorkerTime m_started;
+  std::optional<WorkerTime> m_ended;
+  std::string m_how;
+  /// The end was acknowledged, and the lease did not lapse between the two.
+  bool m_acknowledged = false;
+};
+
 /// One life of a worker. A task's payload says what it does: "run MILLISECONDS", "fail", or
 /// "last" for a task that runs until it is stopped.
 struct RunWorkerSim {
@@ -37,6 +50,8 @@
   std::map<std::string, std::uint64_t> m_closed;  ///< Highest run that was stopped or ended.
   std::vector<SimEnd> m_ends;
   std::uint64_t m_starts = 0;
+  WorkerTime m_last_lapse;          ///< When the lease last lapsed.
+  std::deque<SimRunTimes> m_times;  ///< Of the newest runs, in the order of their starts.
 };
 
 [[nodiscard]] std::int64_t ClockMs(const RunWorkerSim& worker, WorkerTime now);
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -3,6 +3,9 @@
 /// It serves /run-start, /run-stop, /hold and /pace as the platform's pages describe them, and
 ///
 ///     GET  /sim                           -> {"starts": n, "running": n, "born": n}
+///     GET  /sim/runs                      -> [{"Task": s, "Run": n, "StartedUs": n, "EndedUs": n,
+///                                              "How": s, "Acknowledged": b}], newest runs of this
+///                                            life on the steady clock; no EndedUs while at work
 ///     POST /faults {"silent": true}       nothing is answered and no heartbeat is sent
 ///                  {"late_starts": n}     the next n starts are not answered and done 1 s later
 ///                  {"restart": true}      the worker begins a new life under its id
@@ -94,7 +97,8 @@
   void Serve(const http_request& request) {
     if (request.method() == web::http::methods::GET) {
       const std::lock_guard lock(m_mutex);
-      return ReplyStatus(request);
+      return request.relative_uri().path() == "/sim/runs" ? ReplyRuns(request)
+                                                          : ReplyStatus(request);
     }
     UseBody(request, request.extract_json(true), m_gate,
             [this, request](const pplx::task<value>& body) {
@@ -115,6 +119,26 @@
     request.reply(status_codes::OK, json);
   }
 
+  void ReplyRuns(const http_request& request) {
+    const auto micros = [](const WorkerTime time) {
+      const auto since =
+          std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
+      return value::number(static_cast<std::int64_t>(since.count()));
+    };
+    std::vector<value> rows;
+    for (const auto& times : m_sim.m_times) {
+      value row = value::object();
+      row["Task"] = value::string(times.m_task);
+      row["Run"] = value::number(times.m_run);
+      row["StartedUs"] = micros(times.m_started);
+      if (times.m_ended) row["EndedUs"] = micros(*times.m_ended);
+      row["How"] = value::string(times.m_how);
+      row["Acknowledged"] = value::boolean(times.m_acknowledged);
+      rows.push_back(std::move(row));
+    }
+    request.reply(status_codes::OK, value::array(std::move(rows)));
+  }
+
   void Answer(const http_request& request, const value& body) {
     const auto path = request.relative_uri().path();
     if (path == "/faults") return SetFaults(request, body);
--- a/packages/standin/tests/platform_sim_test.cc
+++ b/packages/standin/tests/platform_sim_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(ASilentMemberLosesItsPartitions);
   CPPUNIT_TEST(ARunEndsWithItsLease);
   CPPUNIT_TEST(AStoppedRunCannotStartLater);
+  CPPUNIT_TEST(TheTimesOfARunAreKept);
+  CPPUNIT_TEST(AnEndBeforeALapseIsNotAcknowledged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -91,6 +93,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string{}, Start(worker, now, "t", 4, "last", 2000));
     CPPUNIT_ASSERT_EQUAL(std::string{"late"}, Start(worker, now + 3s, "u", 1, "last", 2000));
   }
+
+  /// Guards against ends that are recorded when they are noticed, which hides or invents runs at
+  /// the same time.
+  void TheTimesOfARunAreKept() {
+    RunWorkerSim worker;
+    const WorkerTime now{};
+    CPPUNIT_ASSERT_EQUAL(std::string{}, Start(worker, now + 1s, "t", 1, "run 500", 3000));
+    CPPUNIT_ASSERT_EQUAL(std::string{}, Start(worker, now + 1s, "u", 1, "last", 3000));
+    Extend(worker, now + 4s, 6000);
+    CPPUNIT_ASSERT(worker.m_times.at(0).m_started == now + 1s);
+    CPPUNIT_ASSERT(worker.m_times.at(0).m_ended == now + 1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::string{"done"}, worker.m_times.at(0).m_how);
+    CPPUNIT_ASSERT(worker.m_times.at(1).m_ended == now + 3s);
+    CPPUNIT_ASSERT_EQUAL(std::string{"lapsed"}, worker.m_times.at(1).m_how);
+  }
+
+  /// Guards against checks that forbid a task to start again although its end may be lost.
+  void AnEndBeforeALapseIsNotAcknowledged() {
+    for (const bool lapses : {false, true}) {
+      RunWorkerSim worker;
+      const WorkerTime now{};
+      CPPUNIT_ASSERT_EQUAL(std::string{}, Start(worker, now + 1s, "t", 1, "run 500", 3000));
+      Extend(worker, now + (lapses ? 4s : 2s), 6000);
+      CPPUNIT_ASSERT(!worker.m_times.at(0).m_acknowledged);
+      Forget(worker, 1);
+      CPPUNIT_ASSERT_EQUAL(!lapses, worker.m_times.at(0).m_acknowledged);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformSimTest);
