--- /dev/null
+++ b/packages/daemon/scenarios/daemon_process.cc
@@ -0,0 +1,89 @@
+#include "daemon_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace ebonypin::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kWaitPoll = 5ms;
+constexpr mode_t kLogFileMode = 0600;
+
+std::string WriteSettings(const std::string& settings) {
+  auto file = (std::filesystem::temp_directory_path() / "ebonypin-daemon-XXXXXX").string();
+  const int descriptor = ::mkstemp(file.data());
+  if (descriptor < 0) throw std::runtime_error("cannot create a settings file in " + file);
+  ::close(descriptor);
+  std::ofstream(file) << settings;
+  return file;
+}
+
+}  // namespace
+
+DaemonProcess::DaemonProcess(const std::string& settings, const std::vector<std::string>& flags,
+                             const std::string& log_file)
+    : m_settings_file(WriteSettings(settings)) {
+  std::vector<std::string> words{EBONYPIN_DAEMON, "--settings=" + m_settings_file};
+  words.insert(words.end(), flags.begin(), flags.end());
+  std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
+  for (auto& word : words) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  ::posix_spawn_file_actions_init(&actions);
+  if (!log_file.empty()) {
+    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
+    ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  }
+  // An inherited socket would keep a connection open that the test has closed.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  const int error =
+      ::posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+  ::posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    m_pid = 0;
+    std::filesystem::remove(m_settings_file);
+    throw std::runtime_error("cannot start " + words[0]);
+  }
+}
+
+DaemonProcess::~DaemonProcess() {
+  (void)WaitForEnd(0ms);
+  std::filesystem::remove(m_settings_file);
+}
+
+void DaemonProcess::Signal(const int signal) const {
+  if (m_pid != 0) ::kill(m_pid, signal);
+}
+
+bool DaemonProcess::HasEnded() {
+  if (m_pid != 0 && ::waitpid(m_pid, &m_status, WNOHANG) != 0) m_pid = 0;
+  return m_pid == 0;
+}
+
+bool DaemonProcess::WaitForEnd(const std::chrono::milliseconds timeout) {
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  while (!HasEnded()) {
+    if (std::chrono::steady_clock::now() >= until) {
+      ::kill(m_pid, SIGKILL);
+      ::waitpid(m_pid, &m_status, 0);
+      m_pid = 0;
+      return false;
+    }
+    std::this_thread::sleep_for(kWaitPoll);
+  }
+  return WIFEXITED(m_status) && WEXITSTATUS(m_status) == 0;
+}
+
+}  // namespace ebonypin::daemon
--- /dev/null
+++ b/packages/daemon/scenarios/daemon_process.h
@@ -0,0 +1,41 @@
+/// A daemon as a process of its own, so that tests can send signals to it.
+#pragma once
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace ebonypin::daemon {
+
+class DaemonProcess {
+ public:
+  /// Starts the daemon with the INI text `settings` and further `flags`. Its output goes to
+  /// `log_file`, or to that of the test when it is empty. Throws std::runtime_error when it cannot
+  /// be started.
+  DaemonProcess(const std::string& settings, const std::vector<std::string>& flags,
+                const std::string& log_file = {});
+  /// Kills the process if it still runs.
+  ~DaemonProcess();
+  DaemonProcess(const DaemonProcess&) = delete;
+  DaemonProcess& operator=(const DaemonProcess&) = delete;
+
+  /// Returns zero when the process has ended.
+  [[nodiscard]] pid_t Pid() const noexcept { return m_pid; }
+
+  void Signal(int signal) const;
+
+  [[nodiscard]] bool HasEnded();
+
+  /// Returns whether the process ends by itself, and without an error, within `timeout`. Kills it
+  /// after that.
+  [[nodiscard]] bool WaitForEnd(std::chrono::milliseconds timeout);
+
+ private:
+  std::string m_settings_file;
+  pid_t m_pid = 0;
+  int m_status = 0;  ///< As waitpid returns it, once the process has ended.
+};
+
+}  // namespace ebonypin::daemon
--- a/packages/daemon/scenarios/entry_process.h
+++ b/packages/daemon/scenarios/entry_process.h
@@ -1,11 +1,11 @@
-/// An entry of jobs of steps as a process of its own, so that tests can send signals to it.
+/// An entry of jobs of steps as a process of its own.
 #pragma once
 
-#include <sys/types.h>
-
 #include <chrono>
 #include <string>
 
+#include "daemon_process.h"
+
 namespace ebonypin::daemon {
 
 class EntryProcess {
@@ -13,23 +13,20 @@
   /// Starts an entry that uses the store at `store_address` and stops at most `drain_limit` after
   /// SIGTERM. Throws std::runtime_error when it cannot be started.
   EntryProcess(const std::string& store_address, std::chrono::seconds drain_limit);
-  /// Kills the process if it still runs.
-  ~EntryProcess();
-  EntryProcess(const EntryProcess&) = delete;
-  EntryProcess& operator=(const EntryProcess&) = delete;
 
   [[nodiscard]] const std::string& HttpAddress() const noexcept { return m_http_address; }
 
-  void Signal(int signal) const;
+  void Signal(const int signal) const { m_process.Signal(signal); }
 
   /// Returns whether the process ends by itself, and without an error, within `timeout`. Kills it
   /// after that.
-  [[nodiscard]] bool WaitForEnd(std::chrono::milliseconds timeout);
+  [[nodiscard]] bool WaitForEnd(const std::chrono::milliseconds timeout) {
+    return m_process.WaitForEnd(timeout);
+  }
 
  private:
   const std::string m_http_address;
-  std::string m_settings_file;
-  pid_t m_pid = 0;  ///< Zero: the process has ended.
+  DaemonProcess m_process;
 };
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -1,5 +1,6 @@
 #include "site.h"
 
+#include <arpa/inet.h>
 #include <gflags/gflags.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -62,14 +63,15 @@
   };
 }
 
-std::string FreeAddress() {
+std::string FreeAddress(const std::string& ip) {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{.sin_family = AF_INET, .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+  sockaddr_in address{.sin_family = AF_INET};
+  (void)::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   socklen_t size = sizeof(address);
   (void)::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(socket);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  return ip + ":" + std::to_string(ntohs(address.sin_port));
 }
 
 std::string HttpResult::Text(const std::string& field) const {
