Acknowledge ends only to a worker that has answered just before

A task was started again after its end `done`, which the worker took for acknowledged, when the worker had restarted under the same id.

Each incarnation numbers its ends from 1, and a hold call does not name one. Until its first answer the agent sent the next incarnation the number up to which the ends of its predecessor were recorded. The worker forgot ends of its own that the agent had not seen, of starts that had reached it before; the run was missing from the next list and was taken for lost.

Acknowledge ends once, instead of with each hold call, and only within 120 ms after the sending of a hold call that the worker has answered, which is shorter than the restart of a worker. The new test fails without this.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -45,6 +45,9 @@
   Duration m_hold_wait = std::chrono::milliseconds{450};
   /// Pause between hold calls while ends are listed, since the worker then answers at once.
   Duration m_hold_pause = std::chrono::milliseconds{40};
+  /// Ends are acknowledged only within this time after the sending of a hold call that the worker
+  /// has answered. Shorter than the restart of a worker.
+  Duration m_max_answer_age = std::chrono::milliseconds{120};
   /// Limit on start, stop and pace calls in flight; the worker accepts 64 connections.
   std::size_t m_max_calls = 8;
   /// Interval at which a pace call is repeated while the share is, or may be, reduced.
@@ -166,7 +169,8 @@
   std::map<TaskRef, LocalRun> m_runs;
   std::vector<RunEnded> m_ends;
   std::uint64_t m_recorded_end = 0;
-  std::vector<CrashedRun> m_crashed;          ///< Not recorded yet.
+  std::uint64_t m_forgotten_end = 0;  ///< The worker lists no end up to this number any more.
+  std::vector<CrashedRun> m_crashed;  ///< Not recorded yet.
   std::map<TaskRef, LocalRun> m_lapsed_runs;  ///< Runs whose leases ended while it was unreachable.
   Time m_silent_since;                        ///< When an unreachable worker stopped answering.
   std::uint64_t m_arrivals = 0;               ///< Number of runs taken so far.
@@ -175,7 +179,9 @@
   ImagePairs m_pairs;          ///< Interference as learned by the coordinator.
   Time m_own_loads_updated;    ///< When the serving runs' own loads were last updated.
   bool m_hold_in_flight = false;
-  std::uint64_t m_hold_fence = 0;  ///< Fence of the hold call in flight.
+  std::uint64_t m_hold_fence = 0;     ///< Fence of the hold call in flight.
+  Time m_answered_hold;               ///< Sending time of the newest answered hold call.
+  std::uint64_t m_hold_seen_end = 0;  ///< Ends that the hold call in flight acknowledges.
   Time m_next_hold;
   bool m_report_due = false;
 };
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -40,7 +40,7 @@
   agent.m_runs.clear();
   agent.m_lapsed_runs.clear();
   agent.m_ends.clear();
-  agent.m_recorded_end = 0;
+  agent.m_recorded_end = agent.m_forgotten_end = 0;
   agent.m_runs_known = false;
   agent.m_clock_at = {};
   agent.m_sequence = 0;
@@ -266,6 +266,10 @@
 }
 
 void TakeEnds(WorkerAgent& agent, const HoldAnswer& answer) {
+  const bool forgotten =
+      std::none_of(answer.m_ends.begin(), answer.m_ends.end(),
+                   [&](const RunEnded& end) { return end.m_number <= agent.m_hold_seen_end; });
+  if (forgotten) agent.m_forgotten_end = std::max(agent.m_forgotten_end, agent.m_hold_seen_end);
   for (const auto& end : answer.m_ends) {
     const bool known = std::any_of(agent.m_ends.begin(), agent.m_ends.end(),
                                    [&](const auto& e) { return e.m_number == end.m_number; });
@@ -469,12 +473,19 @@
   }
   agent.m_hold_in_flight = true;
   agent.m_hold_fence = agent.m_fence;
-  const bool waits = agent.m_runs_known && agent.m_ends.empty();
+  // The next incarnation of the worker numbers its ends from 1 and would forget ends that this
+  // agent has not seen. So ends are acknowledged once, and only to a worker that answered just
+  // before.
+  const bool unforgotten = agent.m_recorded_end > agent.m_forgotten_end;
+  const bool answered_now =
+      agent.m_worker.m_reachable && now - agent.m_answered_hold <= agent.m_options.m_max_answer_age;
+  agent.m_hold_seen_end = unforgotten && answered_now ? agent.m_recorded_end : 0;
+  const bool waits = agent.m_runs_known && agent.m_ends.empty() && !unforgotten;
   // A worker that does not answer may still receive these calls, so they must not keep extending
   // its leases.
   const bool extends = agent.m_worker.m_reachable;
   return HoldCall{.m_deadline_ms = extends ? GiveLease(agent, now) : 0,
-                  .m_seen_end = agent.m_recorded_end,
+                  .m_seen_end = agent.m_hold_seen_end,
                   .m_wait = waits ? agent.m_options.m_hold_wait : Duration{}};
 }
 
@@ -513,6 +524,7 @@
   agent.m_runs_known = true;
   agent.m_clock_ms = answer->m_clock_ms;
   agent.m_clock_at = now;
+  agent.m_answered_hold = sent;
   TakeEnds(agent, *answer);
   TakeRuns(agent, sent, now, *answer);
   agent.m_next_hold = agent.m_ends.empty() ? now : now + agent.m_options.m_hold_pause;
--- a/packages/core/tests/fleet/worker_agent_restart_test.cc
+++ b/packages/core/tests/fleet/worker_agent_restart_test.cc
@@ -51,6 +51,14 @@
     Exchange(HoldAnswer{.m_born = born, .m_clock_ms = 5000, .m_runs = runs});
   }
 
+  /// Sends a hold call after `pause` and returns the newest end that it acknowledges.
+  std::uint64_t SeenEnd(const Duration pause) {
+    m_now += pause;
+    const auto hold = NextHold(m_agent, m_now);
+    CPPUNIT_ASSERT(hold.has_value());
+    return hold->m_seen_end;
+  }
+
   /// Makes a hold call that the worker does not answer.
   void FallSilent() { Exchange(std::nullopt); }
 
@@ -81,6 +89,7 @@
   CPPUNIT_TEST(ADelayedFirstHeartbeatHidesNoRun);
   CPPUNIT_TEST(AnIncarnationAnnouncedBeforeTheFirstAnswerHidesNoRun);
   CPPUNIT_TEST(AStartThatReachesTheNextIncarnationIsNotHidden);
+  CPPUNIT_TEST(TheNextIncarnationIsNotSentAcknowledgementsOfItsPredecessor);
   CPPUNIT_TEST(ARestartedAgentObeysNoFormerCoordinator);
   CPPUNIT_TEST(AnAgentBesideAnEmptyStoreTakesTheFirstCoordinator);
   CPPUNIT_TEST(ALeaseAfterASuspensionEndsByTheWorkersClock);
@@ -126,6 +135,31 @@
     CPPUNIT_ASSERT(fixture.ClaimsThatNothingRuns());
   }
 
+  /// Guards against an end that a worker restarted under the same id forgets before the agent has
+  /// seen it: its ends are numbered from 1 again.
+  void TheNextIncarnationIsNotSentAcknowledgementsOfItsPredecessor() {
+    for (const bool recorded_late : {false, true}) {
+      StartedAgent fixture;
+      fixture.Announce(1000);
+      fixture.Hold(1000);
+      const auto record = [&] {
+        OnReportReply(fixture.m_agent, fixture.m_now,
+                      {.m_accepted = true, .m_recorded_end = 4, .m_worker_born = 1000});
+      };
+      if (recorded_late) {
+        // The worker restarts before the end is acknowledged.
+        record();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fixture.SeenEnd(400ms));
+        continue;
+      }
+      record();
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, fixture.SeenEnd(50ms));
+      OnHold(fixture.m_agent, fixture.m_now, fixture.m_now,
+             HoldAnswer{.m_born = 1000, .m_clock_ms = 5000});
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fixture.SeenEnd(50ms));
+    }
+  }
+
   /// Guards against a start that a worker restarted under the same id carried out before the agent
   /// knew of the restart, and that a report then leaves out.
   void AStartThatReachesTheNextIncarnationIsNotHidden() {
