Name the process that has ended when a site of processes does not come up

The kernel gave one free port to two processes of a play when several plays began at once, and the failure said only that the site did not come up. FreeAddress never returns an address twice, a play whose site fails is reported with its seed, and the message names the processes that have ended.

--- a/packages/daemon/scenarios/island_test.cc
+++ b/packages/daemon/scenarios/island_test.cc
@@ -112,11 +112,16 @@
   class PlayResult {
    public:
     explicit PlayResult(const std::uint64_t seed)
-        : m_plan(DrawIslandPlan(seed)),
-          m_log_folder(MakeFolder()),
-          m_site(std::make_unique<ProcessSite>(kEntries, kAgents, m_log_folder)) {}
+        : m_plan(DrawIslandPlan(seed)), m_log_folder(MakeFolder()) {
+      try {
+        m_site = std::make_unique<ProcessSite>(kEntries, kAgents, m_log_folder);
+      } catch (const std::exception& exception) {
+        m_faults = {exception.what()};
+      }
+    }
 
     void Start() {
+      if (m_site == nullptr) return;
       m_thread = std::thread([this] {
         try {
           m_faults = Play(*m_site, m_plan);
@@ -128,7 +133,7 @@
 
     /// Returns the faults, and removes the logs when there are none.
     std::string Finish() {
-      m_thread.join();
+      if (m_thread.joinable()) m_thread.join();
       m_site.reset();
       std::cout << Describe(m_plan) << ": " << m_faults.size() << " faults" << std::endl;
       if (m_faults.empty()) {
--- a/packages/daemon/scenarios/process_site.cc
+++ b/packages/daemon/scenarios/process_site.cc
@@ -55,7 +55,7 @@
     (void)Submit(0, kFirstJob, "run 1", static_cast<int>(agents));
     return StateOf(entries - 1, kFirstJob) == "done";
   });
-  if (!ready) throw std::runtime_error("the site did not come up; see " + m_log_folder);
+  if (!ready) throw std::runtime_error("the site did not come up" + DescribeEnded());
 }
 
 ProcessSite::~ProcessSite() {
@@ -111,6 +111,17 @@
   m_network.SetProcess(name, member.m_process->Pid());
 }
 
+std::string ProcessSite::DescribeEnded() {
+  std::string text;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    if (m_entries[i].m_process->HasEnded()) text += "; " + EntryName(i) + " has ended";
+  }
+  for (std::size_t i = 0; i < m_agents.size(); ++i) {
+    if (m_agents[i].m_process->HasEnded()) text += "; " + AgentName(i) + " has ended";
+  }
+  return text;
+}
+
 void ProcessSite::RestartEnded() {
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     if (m_entries[i].m_process->HasEnded()) StartMember(EntryName(i), m_entries[i]);
--- a/packages/daemon/scenarios/process_site.h
+++ b/packages/daemon/scenarios/process_site.h
@@ -63,6 +63,8 @@
   void AddEntry(const std::string& store);
   void AddAgent(const std::string& store);
   void StartMember(const std::string& name, Member& member);
+  /// Returns the names of the processes that have ended.
+  [[nodiscard]] std::string DescribeEnded();
 
   const std::string m_log_folder;
   CutNetwork m_network;
--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -64,14 +65,21 @@
 }
 
 std::string FreeAddress(const std::string& ip) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{.sin_family = AF_INET};
-  (void)::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-  socklen_t size = sizeof(address);
-  (void)::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return ip + ":" + std::to_string(ntohs(address.sin_port));
+  // The kernel may choose the same free port twice.
+  static std::mutex mutex;
+  static std::set<std::string> given;
+  const std::lock_guard lock(mutex);
+  for (;;) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{.sin_family = AF_INET};
+    (void)::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    socklen_t size = sizeof(address);
+    (void)::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    ::close(socket);
+    auto text = ip + ":" + std::to_string(ntohs(address.sin_port));
+    if (given.insert(text).second) return text;
+  }
 }
 
 std::string HttpResult::Text(const std::string& field) const {
--- a/packages/daemon/scenarios/site.h
+++ b/packages/daemon/scenarios/site.h
@@ -99,7 +99,8 @@
 [[nodiscard]] std::function<HttpResult(const std::string& method, const std::string& path)>
 OpenHttp(const std::string& address);
 
-/// Returns an address of the loopback interface whose port was free at the time of the call.
+/// Returns an address of the loopback interface whose port was free at the time of the call. Never
+/// returns an address twice.
 std::string FreeAddress(const std::string& ip = "127.0.0.1");
 
 /// Waits until `condition` holds, for at most 20 s. Returns whether it does.
