Log that a process has stopped once it decides nothing any more

At the drain limit no E102 came at all.

Cause: the event was written before Role::Stop, which ends the leadership of a coordinator without a successor. The agent role had no Stop, so it went on until the process was gone.

Change: the event follows Stop, also after E103, and Stop of the agent role ends its event thread.

Evidence: FleetProcessTest::ACoordinatorDecidesNothingAfterItHasLoggedItsStop, with a drain limit above and one below the drain notice, failed with E601 as the last line, and passes.

--- a/packages/daemon/include/ebonypin/daemon/role.h
+++ b/packages/daemon/include/ebonypin/daemon/role.h
@@ -30,7 +30,7 @@
   [[nodiscard]] virtual bool IsDrained() const = 0;
 
   /// Answers what is still in progress after the drain or at its limit, and refuses what comes
-  /// later. The process may end without destroying the role.
+  /// later. The role decides nothing after it. The process may end without destroying the role.
   virtual void Stop() {}
 };
 
--- a/packages/daemon/scenarios/entry_process.cc
+++ b/packages/daemon/scenarios/entry_process.cc
@@ -13,9 +13,10 @@
 
 }  // namespace
 
-EntryProcess::EntryProcess(const std::string& store_address, const std::chrono::seconds drain_limit)
+EntryProcess::EntryProcess(const std::string& store_address, const std::chrono::seconds drain_limit,
+                           const std::string& log_file)
     : m_http_address(FreeAddress()),
       m_process(Settings(m_http_address, store_address),
-                {"--drain_seconds=" + std::to_string(drain_limit.count())}) {}
+                {"--drain_seconds=" + std::to_string(drain_limit.count())}, log_file) {}
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/scenarios/entry_process.h
+++ b/packages/daemon/scenarios/entry_process.h
@@ -11,8 +11,10 @@
 class EntryProcess {
  public:
   /// Starts an entry that uses the store at `store_address` and stops at most `drain_limit` after
-  /// SIGTERM. Throws std::runtime_error when it cannot be started.
-  EntryProcess(const std::string& store_address, std::chrono::seconds drain_limit);
+  /// SIGTERM. Its output goes to `log_file`, or to that of the test when it is empty. Throws
+  /// std::runtime_error when it cannot be started.
+  EntryProcess(const std::string& store_address, std::chrono::seconds drain_limit,
+               const std::string& log_file = {});
 
   [[nodiscard]] const std::string& HttpAddress() const noexcept { return m_http_address; }
 
--- a/packages/daemon/scenarios/fleet_process_test.cc
+++ b/packages/daemon/scenarios/fleet_process_test.cc
@@ -1,8 +1,11 @@
 /// Scenarios of an entry that runs as a process of its own and gets signals.
 #include <cppunit/extensions/HelperMacros.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <atomic>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 #include <vector>
 
@@ -19,6 +22,7 @@
   CPPUNIT_TEST_SUITE(FleetProcessTest);
   CPPUNIT_TEST(CallsInProgressAtTheDrainLimitAreAnswered);
   CPPUNIT_TEST(CallersThatGoOnUntilTheEndGetNoFalseAnswer);
+  CPPUNIT_TEST(ACoordinatorDecidesNothingAfterItHasLoggedItsStop);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -82,6 +86,31 @@
     CPPUNIT_ASSERT_EQUAL(0, false_answers.load());
     CPPUNIT_ASSERT(ended);
   }
+
+  /// Guards against a coordinator without a successor that goes on after the event "process
+  /// stopped": a log that ends so told that a process had stopped which still decided.
+  void ACoordinatorDecidesNothingAfterItHasLoggedItsStop() {
+    for (const auto drain_limit : {4s, 1s}) {  // Longer and shorter than the drain notice, 2.5 s.
+      auto log = (std::filesystem::temp_directory_path() / "ebonypin-log-XXXXXX").string();
+      ::close(::mkstemp(log.data()));
+      FleetSite site(0, 0, false);
+      site.PutConfig(1, "/renders/");
+      EntryProcess entry(site.StoreAddress(), drain_limit, log);
+      CPPUNIT_ASSERT(WaitUntil(
+          [&] { return SendHttp(entry.HttpAddress(), "GET", "/renders/", {}).m_status == 200; }));
+      entry.Signal(SIGTERM);
+      CPPUNIT_ASSERT(entry.WaitForEnd(drain_limit + 1s));
+      std::ifstream lines(log);
+      std::string last;
+      bool led = false;
+      for (std::string line; std::getline(lines, line); last = line) {
+        led = led || line.find(" E600 ") != std::string::npos;
+      }
+      std::filesystem::remove(log);
+      CPPUNIT_ASSERT(led);
+      CPPUNIT_ASSERT_MESSAGE(last, last.find(" E102 ") != std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetProcessTest);
--- a/packages/daemon/src/ebonypind_main.cc
+++ b/packages/daemon/src/ebonypind_main.cc
@@ -115,8 +115,9 @@
   while (!role->IsDrained() && std::chrono::steady_clock::now() < drain_deadline) {
     std::this_thread::sleep_for(std::chrono::milliseconds{20});
   }
-  daemon::LogEvent(role->IsDrained() ? daemon::kProcessStopped : daemon::kDrainTimedOut);
+  if (!role->IsDrained()) daemon::LogEvent(daemon::kDrainTimedOut);
   role->Stop();
+  daemon::LogEvent(daemon::kProcessStopped);
   daemon::FlushLog();
   // The HTTP library may hang, crash or answer 404 while its last listener closes under traffic, so
   // the process ends without closing it.
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -139,6 +139,8 @@
 
   [[nodiscard]] bool IsDrained() const override { return m_stopping; }
 
+  void Stop() override { m_events->Stop(); }
+
  private:
   platform::ControlHandlers Handlers() {
     return {.m_on_heartbeat =
