Drop the store's answers to an earlier claim of the leadership

What callers could see: jobs missing after a takeover, or a task that runs twice, when the store is slow.

Cause: the callbacks of a claim checked only that some claim was in progress. When a claim had failed and the next one had begun within the 0.8 s of a store call, an answer to the fence or to a page of the first one carried the second one on: with the predecessor of the first, and with records read before the second one's fence.

Change: each claim has a number, and answers to an earlier one are dropped.

Evidence: by reading only, from a review; no test and no play shows it.

--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -123,13 +123,18 @@
                });
 }
 
+bool CoordinatorService::IsClaiming(const std::uint64_t claim) const noexcept {
+  return m_leadership.m_stage == LeadershipStage::kClaiming && claim == m_claims;
+}
+
 void CoordinatorService::Claim() {
   m_leadership.m_stage = LeadershipStage::kClaiming;
   m_leadership.m_epoch = 0;
+  const auto claim = ++m_claims;
   m_store.ReadNewest(m_options.m_coordinator_topic, {},
-                     [this, events = m_events](core::Captured<platform::NewestPage> page) {
-                       events->Post([this, page = std::move(page)] {
-                         if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
+                     [this, events = m_events, claim](core::Captured<platform::NewestPage> page) {
+                       events->Post([this, claim, page = std::move(page)] {
+                         if (!IsClaiming(claim)) return;
                          if (!page.Ok()) return BecomeFollower(page.m_error->m_message);
                          auto previous = PreviousClaim(page.m_value->m_records);
                          const CoordinatorRecord record{
@@ -173,9 +178,10 @@
   m_store.Append(m_options.m_coordinator_topic,
                  {{.m_key = kCoordinatorKey, .m_value = wire::Encode(record)}},
                  {.m_expected_end = at_end},
-                 [this, events = m_events, record, previous](const platform::AppendReply& reply) {
-                   events->Post([this, record, previous, reply] {
-                     if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
+                 [this, events = m_events, claim = m_claims, record,
+                  previous](const platform::AppendReply& reply) {
+                   events->Post([this, claim, record, previous, reply] {
+                     if (!IsClaiming(claim)) return;
                      // If the append took effect but its answer was lost, the next claim reads this
                      // epoch and uses a later one.
                      if (reply.m_status != AppendStatus::kAppended) {
@@ -192,9 +198,10 @@
   m_store.Append(
       m_options.m_jobs_topic, {},
       {.m_writer = platform::StoreWriter{.m_name = kWriterName, .m_epoch = m_leadership.m_epoch}},
-      [this, events = m_events, previous, sent](const platform::AppendReply& reply) {
-        events->Post([this, previous, sent, reply] {
-          if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
+      [this, events = m_events, claim = m_claims, previous,
+       sent](const platform::AppendReply& reply) {
+        events->Post([this, claim, previous, sent, reply] {
+          if (!IsClaiming(claim)) return;
           if (reply.m_status != AppendStatus::kAppended) {
             // The claim was made from a record that another writer has replaced or removed, unless
             // a later claim was made meanwhile.
@@ -213,22 +220,23 @@
 }
 
 void CoordinatorService::Recover(const std::string& after, const CoordinatorRecord& previous) {
-  m_store.ReadNewest(
-      m_options.m_jobs_topic, after,
-      [this, events = m_events, after, previous](core::Captured<platform::NewestPage> page) {
-        events->Post([this, after, previous, page = std::move(page)] {
-          if (m_leadership.m_stage != LeadershipStage::kClaiming) return;
-          if (!page.Ok()) return BecomeFollower(page.m_error->m_message);
-          const auto& read = *page.m_value;
-          if (read.m_unreadable > 0) {
-            LogEvent(kRecordNotDecoded,
-                     {{"topic", m_options.m_jobs_topic}, {"records", read.m_unreadable}});
-          }
-          for (const auto& record : read.m_records) Restore(record);
-          if (read.m_more && read.m_last_key > after) return Recover(read.m_last_key, previous);
-          Activate(previous);
-        });
-      });
+  m_store.ReadNewest(m_options.m_jobs_topic, after,
+                     [this, events = m_events, claim = m_claims, after,
+                      previous](core::Captured<platform::NewestPage> page) {
+                       events->Post([this, claim, after, previous, page = std::move(page)] {
+                         if (!IsClaiming(claim)) return;
+                         if (!page.Ok()) return BecomeFollower(page.m_error->m_message);
+                         const auto& read = *page.m_value;
+                         if (read.m_unreadable > 0) {
+                           LogEvent(kRecordNotDecoded, {{"topic", m_options.m_jobs_topic},
+                                                        {"records", read.m_unreadable}});
+                         }
+                         for (const auto& record : read.m_records) Restore(record);
+                         if (read.m_more && read.m_last_key > after)
+                           return Recover(read.m_last_key, previous);
+                         Activate(previous);
+                       });
+                     });
 }
 
 void CoordinatorService::Restore(const platform::KeyedRecord& record) {
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -130,6 +130,9 @@
   /// Returns the writer identity of the next append. The store refuses appends of earlier epochs.
   [[nodiscard]] platform::StoreWriter Writer(std::uint64_t sequence) const;
   void Claim();
+  /// Returns whether this claim is the one in progress. An answer of the store may arrive after its
+  /// claim has failed and another one has begun.
+  [[nodiscard]] bool IsClaiming(std::uint64_t claim) const noexcept;
   /// Returns the newest claim among the records of the topic. The epoch of one that cannot be read
   /// is replaced by the floor of epochs.
   core::fleet::CoordinatorRecord PreviousClaim(const std::vector<platform::KeyedRecord>& records);
@@ -182,6 +185,7 @@
   core::fleet::Evacuations m_evacuations;
   KnownCoordinator m_known;
   core::Epoch m_epoch_floor = 0;  ///< The next claim uses a later epoch.
+  std::uint64_t m_claims = 0;     ///< Number of claims begun; the newest one may be in progress.
   std::optional<OpenClaim> m_open_claim;
   EndedTerm m_last_term;
   std::map<core::fleet::WaitCause, std::uint64_t> m_waits;
