Count a repeated append as of its first call

What callers could see: a task that ran twice at the same time (TWICE), on the order of a coordinator that a successor had replaced.

Cause: an append that the store accepted confirms the leadership as of its sending. For a repeat this was the time of the repeat, but the store answers a repeat as it answered the first call. Whether it checks for a later epoch first is not said on the platform's page.

Change: the append confirms the leadership as of its first call.

Evidence: AppendQueueTest::ARepeatConfirmsTheTimeOfItsFirstCall covers the time; the fault is by reading, from a review.

--- a/packages/core/include/ebonypin/core/fleet/append_queue.h
+++ b/packages/core/include/ebonypin/core/fleet/append_queue.h
@@ -62,8 +62,11 @@
 /// What follows from an outcome.
 struct AppendResult {
   std::vector<WriteBatch> m_written;  ///< In the store now, in order.
-  bool m_superseded = false;          ///< Another coordinator writes: step down.
-  bool m_failed = false;              ///< The call is to be repeated after the retry delay.
+  /// When the append that was taken was first sent: the store may answer a repeat as it answered
+  /// the first call, even if it has seen a later epoch since.
+  Time m_confirmed;
+  bool m_superseded = false;  ///< Another coordinator writes: step down.
+  bool m_failed = false;      ///< The call is to be repeated after the retry delay.
 };
 
 /// Returns whether another append may begin.
--- a/packages/core/src/fleet/append_queue.cc
+++ b/packages/core/src/fleet/append_queue.cc
@@ -49,6 +49,7 @@
   found->m_in_flight = false;
   switch (outcome) {
     case AppendOutcome::kAppended:
+      result.m_confirmed = found->m_began;
       queue.m_first_taken = true;
       queue.m_failing_since = {};
       while (!queue.m_open.empty() && queue.m_open.front().m_sequence <= sequence) {
--- a/packages/core/tests/fleet/append_queue_test.cc
+++ b/packages/core/tests/fleet/append_queue_test.cc
@@ -59,9 +59,22 @@
   CPPUNIT_TEST(NothingNewBeginsWhileAppendsFail);
   CPPUNIT_TEST(AnotherWriterEndsTheLeadership);
   CPPUNIT_TEST(EndsWithoutRecordsWaitForOpenAppends);
+  CPPUNIT_TEST(ARepeatConfirmsTheTimeOfItsFirstCall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against authority that a repeated append prolongs although a successor has fenced the
+  /// store since its first call.
+  void ARepeatConfirmsTheTimeOfItsFirstCall() {
+    AppendQueue queue;
+    const Time began{1h};
+    const auto sequence = Begin(queue, began, BatchOf("j")).m_sequence;
+    (void)OnOutcome(queue, began + 1s, sequence, AppendOutcome::kUnknown);
+    CPPUNIT_ASSERT(NextRepeat(queue, began + 2s) != nullptr);
+    const auto result = OnOutcome(queue, began + 3s, sequence, AppendOutcome::kAppended);
+    CPPUNIT_ASSERT(result.m_confirmed == began);
+  }
+
   /// Guards against callers that wait for two answers while the store is slow: one of the append in
   /// progress, one of their own.
   void AChangeWaitsForAboutOneAnswerOfASlowStore() {
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -94,18 +94,17 @@
   std::vector<platform::KeyedRecord> records;
   records.reserve(append.m_batch.m_records.size());
   for (const auto& change : append.m_batch.m_records) records.push_back(ToRecord(change));
-  const auto sent = BootNow();
   m_store.Append(m_options.m_jobs_topic, records, {.m_writer = Writer(append.m_sequence)},
-                 [this, events = m_events, sent, sequence = append.m_sequence,
+                 [this, events = m_events, sequence = append.m_sequence,
                   epoch = m_leadership.m_epoch](const platform::AppendReply& reply) {
-                   events->Post([this, sent, sequence, epoch, reply] {
+                   events->Post([this, sequence, epoch, reply] {
                      if (!IsActive() || epoch != m_leadership.m_epoch) return;
-                     OnAppended(sent, sequence, reply);
+                     OnAppended(sequence, reply);
                    });
                  });
 }
 
-void CoordinatorService::OnAppended(const core::Time sent, const std::uint64_t sequence,
+void CoordinatorService::OnAppended(const std::uint64_t sequence,
                                     const platform::AppendReply& reply) {
   const bool was_failing = m_appends.m_failing_since != core::Time{};
   const auto result = OnOutcome(m_appends, BootNow(), sequence, OutcomeOf(reply.m_status));
@@ -117,14 +116,14 @@
     m_events->At(Now() + m_appends.m_options.m_retry_delay, [this] { ScheduleCycle(); });
     return;
   }
-  if (!result.m_written.empty()) {
-    if (was_failing) LogEvent(kLogAvailable, {{"topic", m_options.m_jobs_topic}});
+  if (!result.m_written.empty() && was_failing) {
+    LogEvent(kLogAvailable, {{"topic", m_options.m_jobs_topic}});
   }
   for (const auto& batch : result.m_written) {
     OnWritten(m_state, batch);
     for (const auto& member : batch.m_members) AnnounceTo(member.m_record.m_rpc_address);
   }
-  if (!result.m_written.empty()) OnConfirmed(sent);
+  if (!result.m_written.empty()) OnConfirmed(result.m_confirmed);
   ResumeWaiters();
   ScheduleCycle();
 }
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -164,7 +164,7 @@
   void RequestAdvice();
   void Flush();
   void SendAppend(const core::fleet::OpenAppend& append);
-  void OnAppended(core::Time sent, std::uint64_t sequence, const platform::AppendReply& reply);
+  void OnAppended(std::uint64_t sequence, const platform::AppendReply& reply);
   /// Arranges for RefuseUnwritten to be called when the append that begins now is overdue.
   void ScheduleRefusals();
   [[nodiscard]] static core::fleet::JobCallReply StoreSilentRefusal();
