Tell the coordinator that ends of a worker are not listed yet

What callers would see: after a long outage of the store in which an agent or the coordinator has changed, a task starts again although its first run ends `done`, and both ends are acknowledged.

Cause: a worker lists 500 unacknowledged ends at a time. An agent process that starts beside a worker with more never knew the runs whose ends come later, so its report named neither the runs nor their ends. The coordinator took the runs for lost, or the member for one that has listed all that it had.

Change: the report says whether the list of ends is complete. While it is not, the coordinator takes the ends that are there, so that they are acknowledged and the next are listed, but takes no run for lost, and inherited jobs go on waiting for the member, as long as for a silent one. The list counts as complete when all leases of a silent worker have ended, or another incarnation comes. Reports of earlier versions count as complete; earlier coordinators skip the field.

Not run with it: daemon_scenarios.

--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -80,6 +80,9 @@
   std::vector<RunStatus> m_runs;
   std::vector<RunEnded> m_ends;
   std::vector<CrashedRun> m_crashed;  ///< Not recorded yet. Earlier versions send none.
+  /// If not, a run that is not listed may have ended: the worker lists its end only after earlier
+  /// ends have been acknowledged. Earlier versions always send true.
+  bool m_ends_complete = true;
 
   friend bool operator==(const AgentReport&, const AgentReport&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -160,6 +160,7 @@
   std::uint64_t m_sequence = 0;  ///< Newest heartbeat of this incarnation.
   bool m_answered = false;       ///< This incarnation has answered a hold call.
   bool m_runs_known = false;
+  bool m_ends_complete = true;  ///< See HoldAnswer.
   Time m_leased_until;          ///< End of all leases given so far, also by earlier agents.
   std::int64_t m_clock_ms = 0;  ///< Last reading of the worker's clock, at `m_clock_at`.
   Time m_clock_at;
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -278,7 +278,7 @@
   agent.m_evacuated = state.m_evacuated_domains.count(agent.m_worker.m_domain) > 0;
   // A member recorded in an earlier epoch may have runs, so its report counts before a new record
   // is written. A new member has no runs.
-  state.m_silent_members.erase(report.m_agent);
+  if (report.m_ends_complete) state.m_silent_members.erase(report.m_agent);
   if (!agent.m_recorded) {
     if (!agent.m_record_asked) state.m_unwritten_members.insert(agent.m_id);
     agent.m_record_asked = true;
@@ -289,7 +289,7 @@
   OnCrashes(state, agent, report);
   DropStrays(state, agent);
   for (const auto& run : report.m_runs) OnRun(state, now, agent, run);
-  EndMissing(state, now, agent, report, new_session);
+  if (report.m_ends_complete) EndMissing(state, now, agent, report, new_session);
   agent.m_filling_idle_millis = IdleFillingCpu(state, now, agent, report);
   reply.m_pairs = Learn(state, now, agent, report);
   agent.m_granted = now;
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -42,6 +42,7 @@
   agent.m_ends.clear();
   agent.m_recorded_end = 0;
   agent.m_runs_known = false;
+  agent.m_ends_complete = true;
   agent.m_clock_at = {};
   agent.m_sequence = 0;
   agent.m_answered = false;
@@ -422,7 +423,8 @@
                      .m_runs_known = agent.m_runs_known,
                      .m_worker = agent.m_worker,
                      .m_ends = agent.m_ends,
-                     .m_crashed = agent.m_answered ? agent.m_crashed : std::vector<CrashedRun>{}};
+                     .m_crashed = agent.m_answered ? agent.m_crashed : std::vector<CrashedRun>{},
+                     .m_ends_complete = agent.m_ends_complete};
   for (const auto& [task, run] : agent.m_runs) {
     report.m_runs.push_back({.m_task = task,
                              .m_run = run.m_order.m_run,
@@ -513,6 +515,8 @@
   agent.m_worker.m_reachable = true;
   agent.m_lapsed_runs.clear();
   agent.m_runs_known = true;
+  if (agent.m_ends_complete != answer->m_ends_complete) agent.m_report_due = true;
+  agent.m_ends_complete = answer->m_ends_complete;
   agent.m_clock_ms = answer->m_clock_ms;
   agent.m_clock_at = now;
   TakeEnds(agent, *answer);
@@ -587,9 +591,11 @@
 void Tick(WorkerAgent& agent, const Time now) {
   if (HasGrantEnded(agent, now)) GiveUpStarts(agent, now);
   if (agent.m_worker.m_reachable || now < agent.m_leased_until) return;
-  if (agent.m_runs_known && agent.m_runs.empty()) return;
+  if (agent.m_runs_known && agent.m_runs.empty() && agent.m_ends_complete) return;
   agent.m_lapsed_runs = std::exchange(agent.m_runs, {});
   agent.m_runs_known = true;
+  // Ends that were not acknowledged before the lease ended no longer count.
+  agent.m_ends_complete = true;
   agent.m_report_due = true;
 }
 
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(ACutOffWorkerIsWaitedFor);
   CPPUNIT_TEST(AMemberIsRecordedAnewWithItsNextWorker);
   CPPUNIT_TEST(ListedRunsAreAdopted);
+  CPPUNIT_TEST(InheritedWorkWaitsForEndsThatAreNotListedYet);
+  CPPUNIT_TEST(ARestartedAgentWithMoreEndsHasLostNoRun);
   CPPUNIT_TEST(OccurrencesOfAClockThatWasAheadGoOn);
   CPPUNIT_TEST(ARestartedAgentIsToldWhatItsRunsAre);
   CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
@@ -186,6 +188,44 @@
     CPPUNIT_ASSERT(!site.m_state.m_agents.at({"a"}).m_recorded);
   }
 
+  /// Guards against a second run of a task that has ended `done` at a worker with more ends than it
+  /// lists at a time.
+  void InheritedWorkWaitsForEndsThatAreNotListedYet() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    Restore(site.m_state, site.m_now, MakeJob("j"));
+    Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + 15s});
+    auto report = site.Report("a");
+    report.m_ends_complete = false;
+    (void)site.ReportInNewSession(report);
+    site.Write();
+    CPPUNIT_ASSERT(site.Starts().empty());
+    (void)site.End("a", 501, Ref("j"), 3, RunOutcome::kDone);
+    site.Write();
+    CPPUNIT_ASSERT(site.Starts().empty());
+    CPPUNIT_ASSERT(site.PhaseOf("j") == JobPhase::kDone);
+  }
+
+  /// Guards against the same when the agent restarts under the same coordinator, and against a run
+  /// that counts as running for good once the list of ends is complete.
+  void ARestartedAgentWithMoreEndsHasLostNoRun() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeJob("j", 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.Starts().size());
+    auto report = site.Report("a");
+    report.m_ends_complete = false;
+    (void)site.ReportInNewSession(report);
+    site.Write();
+    const auto& tasks = site.m_state.m_jobs.at({"j"}).m_occurrences.at(0).m_steps[0].m_tasks;
+    CPPUNIT_ASSERT(tasks[0].m_phase == TaskPhase::kPlaced);
+    CPPUNIT_ASSERT(tasks[1].m_phase == TaskPhase::kPlaced);
+    (void)site.End("a", 501, Ref("j", 0), tasks[0].m_run, RunOutcome::kDone);
+    CPPUNIT_ASSERT(tasks[0].m_phase == TaskPhase::kDone);
+    CPPUNIT_ASSERT(tasks[1].m_phase == TaskPhase::kWaiting);
+  }
+
   /// Guards against a takeover that stops running tasks or starts them twice.
   void ListedRunsAreAdopted() {
     Site site;
--- a/packages/core/tests/fleet/worker_agent_restart_test.cc
+++ b/packages/core/tests/fleet/worker_agent_restart_test.cc
@@ -47,8 +47,10 @@
   }
 
   /// Makes a hold call that the incarnation `born` answers.
-  void Hold(const std::int64_t born, const std::vector<ListedRun>& runs = {}) {
-    Exchange(HoldAnswer{.m_born = born, .m_clock_ms = 5000, .m_runs = runs});
+  void Hold(const std::int64_t born, const std::vector<ListedRun>& runs = {},
+            const bool ends_complete = true) {
+    Exchange(HoldAnswer{
+        .m_born = born, .m_clock_ms = 5000, .m_runs = runs, .m_ends_complete = ends_complete});
   }
 
   /// Makes a hold call that the worker does not answer.
@@ -87,6 +89,7 @@
   CPPUNIT_TEST(AnIncarnationWithAnEarlierBirthIsUsedOnceTheFormerIsGone);
   CPPUNIT_TEST(ADelayedHeartbeatReplacesNoWorkerThatMayRunTasks);
   CPPUNIT_TEST(AFenceFromAClockThatSteppedBackIsRaised);
+  CPPUNIT_TEST(AReportTellsThatEndsAreMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -235,6 +238,25 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Report().m_runs.size());
   }
 
+  /// Guards against a run whose end a started agent has not seen yet and whose task the coordinator
+  /// starts again, and against a coordinator that waits for ends of a worker that is gone.
+  void AReportTellsThatEndsAreMissing() {
+    StartedAgent fixture;
+    fixture.Announce(1000);
+    fixture.Hold(1000, {}, false);
+    CPPUNIT_ASSERT(!fixture.Report().m_ends_complete);
+    fixture.Hold(1000);
+    CPPUNIT_ASSERT(fixture.Report().m_ends_complete);
+    fixture.Hold(1000, {}, false);
+    fixture.FallSilent();
+    CPPUNIT_ASSERT(!fixture.Report().m_ends_complete);
+    fixture.m_now += 7s;
+    CPPUNIT_ASSERT(fixture.Report().m_ends_complete);
+    fixture.Hold(1000, {}, false);
+    CPPUNIT_ASSERT(fixture.Announce(2000));
+    CPPUNIT_ASSERT(fixture.Report().m_ends_complete);
+  }
+
   /// Guards against agents of a new deployment that wait for a record which nobody has written.
   void AnAgentBesideAnEmptyStoreTakesTheFirstCoordinator() {
     StartedAgent fixture;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -98,6 +98,7 @@
   ends @8 :List(RunEnded);
   number @9 :UInt64;
   crashed @10 :List(CrashedRun);
+  moreEnds @11 :Bool;
 }
 
 struct AgentReportReply {
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -224,6 +224,7 @@
   PutList(out.initRuns(ListSize(in.m_runs)), in.m_runs);
   PutList(out.initEnds(ListSize(in.m_ends)), in.m_ends);
   PutList(out.initCrashed(ListSize(in.m_crashed)), in.m_crashed);
+  out.setMoreEnds(!in.m_ends_complete);
 }
 
 core::fleet::AgentReport Get(const schema::fleet::AgentReport::Reader in) {
@@ -237,7 +238,8 @@
           .m_worker = Get(in.getWorker()),
           .m_runs = GetList<core::fleet::RunStatus>(in.getRuns()),
           .m_ends = GetList<core::fleet::RunEnded>(in.getEnds()),
-          .m_crashed = GetList<core::fleet::CrashedRun>(in.getCrashed())};
+          .m_crashed = GetList<core::fleet::CrashedRun>(in.getCrashed()),
+          .m_ends_complete = !in.getMoreEnds()};
 }
 
 void Put(schema::fleet::AgentReportReply::Builder out, const core::fleet::AgentReportReply& in) {
--- a/packages/wire/tests/samples.cc
+++ b/packages/wire/tests/samples.cc
@@ -218,7 +218,8 @@
           .m_crashed = {{.m_born = 6,
                          .m_task = kTask,
                          .m_run = 15,
-                         .m_age = std::chrono::milliseconds{700}}}},
+                         .m_age = std::chrono::milliseconds{700}}},
+          .m_ends_complete = false},
       fleet::AgentReportReply{
           .m_accepted = true,
           .m_epoch = 1,
