--- a/packages/core/tests/fleet/history_test.cc
+++ b/packages/core/tests/fleet/history_test.cc
@@ -1,6 +1,19 @@
 /// Generated histories of entries, agents and workers with faults; see simulation.h.
 ///
 /// More histories: RC_PARAMS="seed=N max_success=10000" core_tests HistoryTest.
+///
+/// Deliberate changes of the code, and the histories of seed 1 until one was found: fewest of the
+/// three properties, of 1,000 each, without more than 500 unacknowledged ends.
+///
+///   fence not raised for a new incarnation          24
+///   end not remembered (Task::m_ended)               9
+///   starts kept after their grant                  162
+///   wait shortened to the direct predecessor      none
+///   grant ended without a later confirmation      none
+///   session kept after its grant                  none
+///
+/// Known: a task starts again when an agent restarts while its worker has more unacknowledged ends
+/// than it lists at a time. Seed 3 finds it after 48 to 1,116 histories.
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
