Wait for the longest lease of an incarnation with an earlier birth

What callers could see: a task that was started again after its end `done`, when a worker had come back under its id with a clock that had stepped back.

Cause: such a worker may carry out starts before the agent notices. Their deadlines are of the clock of its former life, far ahead of its own, so that the leases are as long as the worker accepts. The agent took its answers for those of a former incarnation and reported after one of its own, shorter leases that nothing runs.

Change: the first answer of an incarnation with an earlier birth moves the bound of the leases to the longest lease from then.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -159,9 +159,10 @@
   std::uint64_t m_reports = 0;     ///< Number of reports made by this process.
   Time m_granted_until;
 
-  WorkerInfo m_worker;           ///< Empty id: no heartbeat yet.
-  std::uint64_t m_sequence = 0;  ///< Newest heartbeat of this incarnation.
-  bool m_answered = false;       ///< This incarnation has answered a hold call.
+  WorkerInfo m_worker;              ///< Empty id: no heartbeat yet.
+  std::uint64_t m_sequence = 0;     ///< Newest heartbeat of this incarnation.
+  bool m_answered = false;          ///< This incarnation has answered a hold call.
+  std::int64_t m_earlier_born = 0;  ///< Earlier incarnation that answered last; zero: none.
   bool m_runs_known = false;
   bool m_ends_complete = true;  ///< See HoldAnswer.
   Time m_leased_until;          ///< End of all leases given so far, also by earlier agents.
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -55,6 +55,15 @@
   agent.m_report_due = true;
 }
 
+/// Takes account of leases that are as long as the worker accepts.
+void ExpectLongestLease(WorkerAgent& agent, const Time now) {
+  const auto bound = now +
+                     std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error *
+                                                          agent.m_options.m_longest_lease) +
+                     agent.m_options.m_lease_slack;
+  agent.m_leased_until = std::max(agent.m_leased_until, bound);
+}
+
 Duration LeaseAt(const WorkerAgent& agent, const Time now) noexcept {
   return std::min(agent.m_options.m_lease, agent.m_granted_until - now);
 }
@@ -333,12 +342,7 @@
 
 }  // namespace
 
-void Begin(WorkerAgent& agent, const Time now) {
-  agent.m_leased_until = now +
-                         std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error *
-                                                              agent.m_options.m_longest_lease) +
-                         agent.m_options.m_lease_slack;
-}
+void Begin(WorkerAgent& agent, const Time now) { ExpectLongestLease(agent, now); }
 
 bool OnHeartbeat(WorkerAgent& agent, const Time now, const WorkerInfo& worker,
                  const std::uint64_t sequence) {
@@ -495,6 +499,10 @@
             const std::optional<HoldAnswer>& answer) {
   agent.m_hold_in_flight = false;
   if (!answer || answer->m_born < agent.m_worker.m_born) {
+    if (answer && answer->m_born != std::exchange(agent.m_earlier_born, answer->m_born)) {
+      // It may have carried out starts, whose deadlines are far ahead on its own clock.
+      ExpectLongestLease(agent, now);
+    }
     if (agent.m_worker.m_reachable) {
       agent.m_report_due = true;
       agent.m_silent_since = now;
@@ -512,6 +520,7 @@
     return;
   }
   agent.m_answered = true;
+  agent.m_earlier_born = 0;
   // An incarnation that answers has not crashed, whatever another writer has announced.
   std::erase_if(agent.m_crashed,
                 [&](const CrashedRun& run) { return run.m_born >= agent.m_worker.m_born; });
--- a/packages/core/tests/fleet/worker_agent_restart_test.cc
+++ b/packages/core/tests/fleet/worker_agent_restart_test.cc
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(ADelayedHeartbeatReplacesNoWorkerThatMayRunTasks);
   CPPUNIT_TEST(AFenceFromAClockThatSteppedBackIsRaised);
   CPPUNIT_TEST(AReportTellsThatEndsAreMissing);
+  CPPUNIT_TEST(AStartThatReachesAnIncarnationWithAnEarlierBirthIsWaitedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -237,6 +238,23 @@
     }
   }
 
+  /// Guards against a run that is reported as gone while it is at work: a worker that came back
+  /// under its id, with a clock that had stepped back, has carried out a start with a deadline of
+  /// its former life.
+  void AStartThatReachesAnIncarnationWithAnEarlierBirthIsWaitedFor() {
+    StartedAgent fixture;
+    fixture.Announce(20'000);
+    fixture.Hold(20'000);
+    fixture.m_now += 10s;
+    fixture.Hold(20'000, {kRun});
+    for (int i = 0; i < 38; ++i) {
+      fixture.Hold(10'000, {kRun});
+      CPPUNIT_ASSERT(!fixture.ClaimsThatNothingRuns());
+    }
+    fixture.m_now += 600ms;
+    CPPUNIT_ASSERT(fixture.ClaimsThatNothingRuns());
+  }
+
   /// Guards against a delayed heartbeat of a former incarnation that replaces a worker which
   /// answers, or whose runs are leased, and against one that hides a silent worker for good.
   void ADelayedHeartbeatReplacesNoWorkerThatMayRunTasks() {
