--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -213,7 +213,7 @@
   bool m_recorded = false;   ///< The submission is in the store.
   bool m_inherited = false;  ///< Accepted in an earlier epoch.
   bool m_cancelled = false;
-  bool m_begun = false;  ///< A task of it was started.
+  bool m_begun = false;  ///< An agent has listed a run of it.
   bool m_closed = false;
   JobPhase m_phase = JobPhase::kQueued;  ///< As decided; may not be in the store yet.
   /// Phase in the store, which no later coordinator contradicts. Callers are shown only this one.
@@ -236,8 +236,10 @@
 struct Agent {
   AgentId m_id;
   std::string m_rpc_address;
-  bool m_recorded = false;      ///< The member record is in the store.
-  bool m_record_asked = false;  ///< The member record is queued or being written.
+  bool m_recorded = false;  ///< The member record is in the store.
+  /// Request by which the member record was last queued; zero: it is not to be written. An append
+  /// that was opened for an earlier request says nothing about the newest record.
+  std::uint64_t m_record_request = 0;
   WorkerInfo m_worker;
   std::uint64_t m_session = 0;      ///< Zero: no session, and the agent takes no orders.
   std::uint64_t m_offered = 0;      ///< Session that the agent has not taken yet; zero: none.
@@ -291,7 +293,11 @@
   std::vector<RecordChange> m_records;
   std::vector<JobId> m_accepted;
   std::vector<std::pair<JobId, JobPhase>> m_recorded_phases;
-  std::vector<MemberRecord> m_members;
+  struct WrittenMember {
+    MemberRecord m_record;
+    std::uint64_t m_request = 0;  ///< See Agent::m_record_request.
+  };
+  std::vector<WrittenMember> m_members;
   struct RecordedEnds {
     AgentId m_agent;
     std::int64_t m_born = 0;
@@ -345,6 +351,7 @@
   std::set<JobId> m_unwritten_jobs;  ///< Jobs whose submission is to be written.
   std::set<JobId> m_unwritten_progress;
   std::set<AgentId> m_unwritten_members;
+  std::uint64_t m_record_requests = 0;  ///< Number of requests to write a member record.
   std::vector<std::string> m_removed_keys;
   std::vector<AdviceRequest> m_advice_requests;
   std::vector<Decision> m_decisions;  ///< Not yet logged by the caller.
@@ -400,8 +407,14 @@
 void OnLiveWorkers(Coordinator& state, Time asked, const std::set<WorkerId>& workers);
 
 /// Handles expired grants, stalled runs, runs on draining workers, slow filling tasks and closed
-/// jobs whose retention has ended. Call it periodically.
-void Tick(Coordinator& state, Time now, WallMillis wall);
+/// jobs whose retention has ended. Call it periodically. `confirmed` is when the leadership was
+/// last confirmed (see Leadership): a grant, or the wait for silent members, counts as ended only
+/// if it had ended by then, because later the agent may have gone over to a successor, under whose
+/// grants its runs go on.
+void Tick(Coordinator& state, Time now, WallMillis wall, Time confirmed);
+
+/// Returns whether a grant has ended for which a later confirmation than `confirmed` is needed.
+[[nodiscard]] bool NeedsConfirmation(const Coordinator& state, Time now, Time confirmed) noexcept;
 
 /// Places ready tasks on workers by adding start orders to their agents. Call it only while the
 /// coordinator may act (see MayAct in leadership.h).
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -20,6 +20,7 @@
 
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/pacing.h"
+#include "ebonypin/core/fleet/records.h"
 
 namespace ebonypin::core::fleet {
 
@@ -135,6 +136,7 @@
   std::int64_t m_clock_ms = 0;
   std::vector<ListedRun> m_runs;
   std::vector<RunEnded> m_ends;
+  bool m_ends_complete = true;  ///< If not, the worker may have more ends than it lists at a time.
 };
 
 struct WorkerAgent {
@@ -143,9 +145,12 @@
   std::string m_rpc_address;
   std::uint64_t m_fence = 0;
 
+  /// The coordinator's record has been read from the store since this process began.
+  bool m_coordinator_read = false;
   Epoch m_epoch = 0;
   std::string m_coordinator;
   std::uint64_t m_session = 0;
+  std::uint64_t m_former_session = 0;  ///< Ended by a change of the worker; zero: none.
   std::uint64_t m_last_order = 0;
   bool m_session_granted = false;  ///< The coordinator gave a grant in this session.
   std::uint64_t m_reports = 0;     ///< Number of reports made by this process.
@@ -156,7 +161,7 @@
   bool m_answered = false;       ///< This incarnation has answered a hold call.
   bool m_runs_known = false;
   Time m_leased_until;          ///< End of all leases given so far, also by earlier agents.
-  std::int64_t m_clock_ms = 0;  ///< Worker's clock at `m_clock_at`.
+  std::int64_t m_clock_ms = 0;  ///< Last reading of the worker's clock, at `m_clock_at`.
   Time m_clock_at;
   std::map<TaskRef, LocalRun> m_runs;
   std::vector<RunEnded> m_ends;
@@ -178,10 +183,17 @@
 /// Initialises an agent that starts at `now`. An earlier agent may have given leases just before.
 void Begin(WorkerAgent& agent, Time now);
 
-/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has
-/// answered, are ignored. Returns whether it announced a new incarnation of the worker.
+/// Handles a heartbeat; delayed heartbeats, also of incarnations earlier than one that has answered
+/// and may have runs, are ignored. Returns whether it announced a new incarnation of the worker.
 bool OnHeartbeat(WorkerAgent& agent, Time now, const WorkerInfo& worker, std::uint64_t sequence);
 
+/// Handles the coordinator's record as read from the store; nullopt: the store has none.
+void OnCoordinatorRead(WorkerAgent& agent, Time now,
+                       const std::optional<CoordinatorRecord>& record);
+
+/// Handles orders, or the announcement of a coordinator, which has none. All are refused until the
+/// coordinator's record has been read: a former agent process may have obeyed a later epoch than
+/// the one that sends them, and the store knows an epoch that is at least as late.
 [[nodiscard]] AgentOrdersReply OnOrders(WorkerAgent& agent, Time now, const AgentOrders& orders);
 
 [[nodiscard]] AgentReport MakeReport(WorkerAgent& agent, Time now);
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -79,6 +79,28 @@
   }
 }
 
+/// Returns whether a report names another life of the worker than the one known. A worker that
+/// comes back under its id needs a new member record: a successor may have dropped the member
+/// because the platform did not list the worker meanwhile.
+bool IsOtherLife(const WorkerInfo& known, const WorkerInfo& reported) noexcept {
+  if (known.m_id != reported.m_id) return true;
+  return known.m_born != 0 && known.m_born != reported.m_born;  // Zero: restored from a record.
+}
+
+/// Opens the occurrences that the report names and that are not due yet by this clock. The former
+/// coordinator, whose clock was ahead, has started them: otherwise their runs would be stopped and
+/// their ends dropped as unknown, and their tasks started again.
+void OpenReported(Coordinator& state, const AgentReport& report) {
+  const auto open = [&](const TaskRef& task) {
+    Job* const job = FindJob(state, task.m_job);
+    if (job == nullptr || job->m_closed || task.m_occurrence >= job->m_spec.m_times) return;
+    OpenOccurrence(*job, task.m_occurrence);
+  };
+  for (const auto& run : report.m_runs) open(run.m_task);
+  for (const auto& end : report.m_ends) open(end.m_task);
+  for (const auto& crash : report.m_crashed) open(crash.m_task);
+}
+
 /// Handles a listed run: adopts it, updates its progress, or stops it when it is a stray run.
 void OnRun(Coordinator& state, const Time now, Agent& agent, const RunStatus& run) {
   Job* const job = FindJob(state, run.m_task.m_job);
@@ -92,7 +114,6 @@
     task->m_placed = now;
     task->m_progressed = now;
     task->m_order = 0;
-    job->m_begun = true;
     AddPlacedRun(state, agent, run.m_task, *task);
     LogDecision(state, "run adopted", run.m_task, run.m_run, agent.m_id, "listed by its agent");
   }
@@ -100,6 +121,7 @@
       task->m_run != run.m_run) {
     return StopStrayRun(state, agent, run, "another run of the task is current");
   }
+  job->m_begun = true;
   if (run.m_percent != task->m_percent) {
     task->m_percent = run.m_percent;
     task->m_progressed = now;
@@ -256,8 +278,9 @@
     return reply;
   }
   agent.m_last_report = report.m_number;
-  if (agent.m_rpc_address != report.m_rpc_address || agent.m_worker.m_id != report.m_worker.m_id) {
-    agent.m_recorded = agent.m_record_asked = false;
+  if (agent.m_rpc_address != report.m_rpc_address || IsOtherLife(agent.m_worker, report.m_worker)) {
+    agent.m_recorded = false;
+    agent.m_record_request = 0;
   }
   agent.m_rpc_address = report.m_rpc_address;
   agent.m_worker = report.m_worker;
@@ -266,10 +289,13 @@
   // is written. A new member has no runs.
   state.m_silent_members.erase(report.m_agent);
   if (!agent.m_recorded) {
-    if (!agent.m_record_asked) state.m_unwritten_members.insert(agent.m_id);
-    agent.m_record_asked = true;
+    if (agent.m_record_request == 0) {
+      agent.m_record_request = ++state.m_record_requests;
+      state.m_unwritten_members.insert(agent.m_id);
+    }
   }
   if (new_session) BeginSession(state, agent);
+  OpenReported(state, report);
   OnEnds(state, now, agent, report);
   OnCrashes(state, agent, report);
   DropStrays(state, agent);
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -46,6 +46,8 @@
   agent.m_sequence = 0;
   agent.m_answered = false;
   agent.m_missed_since = {};
+  // Orders of the session are meant for the life of the worker that the member record stands for.
+  if (agent.m_session != 0) agent.m_former_session = std::exchange(agent.m_session, 0);
   // A delayed start for the previous incarnation has an older fence and is refused.
   ++agent.m_fence;
   agent.m_next_hold = now;
@@ -65,8 +67,9 @@
                      std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error * lease) +
                      agent.m_options.m_lease_slack;
   agent.m_leased_until = std::max(agent.m_leased_until, bound);
-  const auto deadline = now - agent.m_clock_at + lease;
-  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count();
+  // The last reading stands for the worker's clock. Adding the time since then would overshoot
+  // after a suspension of the machine, which the agent's clock counts and the worker's need not.
+  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
 void ApplyStart(WorkerAgent& agent, const Time now, const StartOrder& order) {
@@ -102,6 +105,21 @@
   run.m_next_call = now;
 }
 
+/// Gives up the starts that the worker has not confirmed when their session or its grant has ended.
+/// The coordinator takes these runs for ended and starts their tasks elsewhere, so a later grant
+/// must not start them.
+void GiveUpStarts(WorkerAgent& agent, const Time now) {
+  std::vector<StartOrder> pending;
+  for (const auto& [task, run] : agent.m_runs) {
+    if (run.m_stage == RunStage::kStarting) pending.push_back(run.m_order);
+  }
+  for (const auto& order : pending) ApplyStop(agent, now, order);
+}
+
+[[nodiscard]] bool HasGrantEnded(const WorkerAgent& agent, const Time now) noexcept {
+  return agent.m_session_granted && now >= agent.m_granted_until;
+}
+
 /// Returns `cpu_millis` as a share of the worker's processors.
 double ShareOf(const WorkerAgent& agent, const double cpu_millis) noexcept {
   const auto capacity = std::max<std::int64_t>(agent.m_worker.m_capacity.m_cpu_millis, 1);
@@ -228,7 +246,9 @@
     local.m_figure = run.m_figure;
     local.m_checkpoint = run.m_checkpoint;
   }
-  for (auto run = agent.m_runs.begin(); run != agent.m_runs.end();) {
+  // A run that is not listed may have ended; its end is listed once earlier ones are acknowledged.
+  const bool all_ends = answer.m_ends_complete;
+  for (auto run = agent.m_runs.begin(); all_ends && run != agent.m_runs.end();) {
     const LocalRun& local = run->second;
     const auto found = listed.find(run->first);
     const bool present = found != listed.end() && found->second == local.m_order.m_run;
@@ -322,14 +342,15 @@
       !first && (worker.m_id != agent.m_worker.m_id || worker.m_born != agent.m_worker.m_born);
   // An incarnation that has not answered yet may be one that another writer has announced. For the
   // same reason the leases of the former one count until the new one answers.
-  if (other_life && agent.m_answered && worker.m_born <= agent.m_worker.m_born) return false;
+  // A silent one without leases may have been replaced by one whose wall clock had stepped back.
+  const bool may_run = agent.m_worker.m_reachable || now < agent.m_leased_until;
+  const bool later = worker.m_born > agent.m_worker.m_born;
+  if (other_life && agent.m_answered && may_run && !later) return false;
   if (!first && !other_life && sequence < agent.m_sequence) return false;
   const bool reachable = agent.m_worker.m_reachable && !other_life;
   const bool draining = agent.m_worker.m_draining;
   const Resources capacity = agent.m_worker.m_capacity;
   if (other_life) BeginIncarnation(agent, now);
-  // Orders of the session are meant for the worker that the member record names.
-  if (!first && worker.m_id != agent.m_worker.m_id) agent.m_session = 0;
   agent.m_worker = worker;
   agent.m_worker.m_reachable = reachable;
   agent.m_sequence = sequence;
@@ -340,7 +361,15 @@
   return first || other_life;
 }
 
+void OnCoordinatorRead(WorkerAgent& agent, const Time now,
+                       const std::optional<CoordinatorRecord>& record) {
+  agent.m_coordinator_read = true;
+  if (!record) return;
+  (void)OnOrders(agent, now, {.m_epoch = record->m_epoch, .m_coordinator = record->m_rpc_address});
+}
+
 AgentOrdersReply OnOrders(WorkerAgent& agent, const Time now, const AgentOrders& orders) {
+  if (!agent.m_coordinator_read) return {.m_epoch = agent.m_epoch};
   if (orders.m_epoch > agent.m_epoch) {
     agent.m_epoch = orders.m_epoch;
     agent.m_coordinator = orders.m_coordinator;
@@ -380,7 +409,8 @@
 }
 
 AgentReport MakeReport(WorkerAgent& agent, const Time now) {
-  const bool session_over = agent.m_session_granted && now >= agent.m_granted_until;
+  const bool session_over = HasGrantEnded(agent, now);
+  if (session_over) GiveUpStarts(agent, now);
   AgentReport report{.m_agent = agent.m_id,
                      .m_rpc_address = agent.m_rpc_address,
                      .m_epoch = agent.m_epoch,
@@ -410,7 +440,11 @@
   }
   if (!reply.m_coordinator.empty()) agent.m_coordinator = reply.m_coordinator;
   if (!reply.m_accepted) return;
+  // Answers a report that was made before the worker changed.
+  if (reply.m_session != 0 && reply.m_session == agent.m_former_session) return;
   if (reply.m_session != agent.m_session) {
+    // A coordinator that changes adopts the starts that are reported to it.
+    if (agent.m_session != 0) GiveUpStarts(agent, sent);
     agent.m_session = reply.m_session;
     agent.m_last_order = 0;
     agent.m_session_granted = false;
@@ -460,7 +494,8 @@
     BeginIncarnation(agent, now);
     agent.m_worker.m_born = answer->m_born;
     agent.m_answered = true;
-    agent.m_leased_until = now;
+    // The lease bound stays until a list shows the runs: this incarnation may have runs of a former
+    // agent process, or have carried out a start that was meant for its predecessor.
     return;
   }
   agent.m_answered = true;
@@ -548,6 +583,7 @@
 void RaiseFence(WorkerAgent& agent) noexcept { agent.m_fence += kFenceStep; }
 
 void Tick(WorkerAgent& agent, const Time now) {
+  if (HasGrantEnded(agent, now)) GiveUpStarts(agent, now);
   if (agent.m_worker.m_reachable || now < agent.m_leased_until) return;
   if (agent.m_runs_known && agent.m_runs.empty()) return;
   agent.m_lapsed_runs = std::exchange(agent.m_runs, {});
--- a/packages/core/tests/fleet/coordinator_takeover_test.cc
+++ b/packages/core/tests/fleet/coordinator_takeover_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(ACutOffWorkerIsWaitedFor);
   CPPUNIT_TEST(AMemberIsRecordedAnewWithItsNextWorker);
   CPPUNIT_TEST(ListedRunsAreAdopted);
+  CPPUNIT_TEST(OccurrencesOfAClockThatWasAheadGoOn);
   CPPUNIT_TEST(ARestartedAgentIsToldWhatItsRunsAre);
   CPPUNIT_TEST(EndsOfSeveralRunsCountInAnyOrder);
   CPPUNIT_TEST(RecordedProgressIsRestored);
@@ -42,6 +43,39 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against a second run of a task of an occurrence that the former coordinator, whose
+  /// clock was ahead, has opened, and which is not due yet by the clock of the new one.
+  void OccurrencesOfAClockThatWasAheadGoOn() {
+    Site site;
+    site.m_state.m_epoch = 2;
+    auto timed = MakeJob("timed", 2);
+    timed.m_times = 2;
+    timed.m_first_due = site.m_wall + 1000;
+    timed.m_interval_ms = 60'000;
+    Restore(site.m_state, site.m_now, timed);
+    Restore(site.m_state, MemberRecord{.m_agent = {"a"}, .m_rpc_address = "a"});
+    FinishRestore(site.m_state, site.m_now, {.m_until = site.m_now + 15s});
+    auto report = site.Report("a");
+    report.m_runs = {{.m_task = Ref("timed", 0), .m_run = 1}};
+    report.m_ends = {{.m_number = 1, .m_task = Ref("timed", 1), .m_run = 1}};
+    (void)site.ReportInNewSession(report);
+    CPPUNIT_ASSERT(site.Stops().empty());
+    site.Advance(2s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+
+    // The second occurrence is not due, and the end that was counted is in the record.
+    const auto& job = site.m_state.m_jobs.at({"timed"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.m_occurrences.size());
+    const auto& tasks = job.m_occurrences.at(0).m_steps[0].m_tasks;
+    CPPUNIT_ASSERT(tasks[0].m_phase == TaskPhase::kPlaced);
+    CPPUNIT_ASSERT(tasks[1].m_phase == TaskPhase::kDone);
+
+    // Occurrences that the job does not have are not opened.
+    report.m_runs = {{.m_task = Ref("timed", 0, 0, 2), .m_run = 1}};
+    (void)site.ReportInNewSession(report);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.m_occurrences.size());
+  }
+
   /// Guards against a record of another writer that ends each coordinator that reads it: an index
   /// beyond the steps, more tasks than fit into memory, or occurrences that never end.
   void OddRecordsOfJobsAreIgnored() {
@@ -84,7 +118,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
     CPPUNIT_ASSERT_EQUAL(std::string{"new"}, starts[0].second.m_task.m_job.m_value);
     site.Advance(15s);
-    Tick(site.m_state, site.m_now, site.m_wall);
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     site.Join("b");
     CPPUNIT_ASSERT(site.m_state.m_silent_members.empty());
     const auto later = site.Starts();
@@ -144,7 +178,7 @@
     CPPUNIT_ASSERT(OnReport(site.m_state, site.m_now, report).m_grant == Duration{});
     const auto batch = TakeWrites(site.m_state, site.m_wall);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.m_members.size());
-    CPPUNIT_ASSERT_EQUAL(std::string{"next"}, batch.m_members[0].m_worker.m_value);
+    CPPUNIT_ASSERT_EQUAL(std::string{"next"}, batch.m_members[0].m_record.m_worker.m_value);
     report.m_worker.m_id = {"one after"};
     report.m_number += 100;
     (void)OnReport(site.m_state, site.m_now, report);
@@ -210,7 +244,7 @@
     before.m_state.m_pairs.m_pairs[{{"watch"}, {"press"}}] = {.m_growth = 2.5,
                                                               .m_learned = before.m_now};
     before.m_state.m_pairs_changed = true;
-    Tick(before.m_state, before.m_now, before.m_wall);
+    Tick(before.m_state, before.m_now, before.m_wall, before.m_now);
     Site after;
     after.m_state.m_epoch = 2;
     for (const auto& change : TakeWrites(before.m_state, before.m_wall).m_records) {
@@ -224,7 +258,7 @@
                          IdleLatency(after.m_state.m_pairs, {"watch"}));
     before.Advance(1s);
     before.m_state.m_pairs_changed = true;
-    Tick(before.m_state, before.m_now, before.m_wall);
+    Tick(before.m_state, before.m_now, before.m_wall, before.m_now);
     CPPUNIT_ASSERT(!before.m_state.m_unwritten_pairs);
   }
 
--- a/packages/core/tests/fleet/worker_agent_test.cc
+++ b/packages/core/tests/fleet/worker_agent_test.cc
@@ -21,29 +21,35 @@
                       .m_service = {"desk"},
                       .m_capacity = {.m_cpu_millis = 4000, .m_memory_mb = 4000}};
 
+  std::uint64_t m_session = 9;
+
   GrantedAgent() {
     Begin(m_agent, m_now);
     OnHeartbeat(m_agent, m_now, m_worker, 1);
     Hold({});
-    (void)OnOrders(m_agent, m_now, {.m_epoch = 1, .m_coordinator = "c"});
+    OnCoordinatorRead(m_agent, m_now, CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
     Grant(5s);
   }
 
   void Grant(const Duration grant) {
     OnReportReply(m_agent, m_now,
-                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_grant = grant});
+                  {.m_accepted = true, .m_epoch = 1, .m_session = m_session, .m_grant = grant});
   }
 
   /// Makes a hold call whose answer lists `runs` and `ends`.
-  HoldCall Hold(const std::vector<ListedRun>& runs, const std::vector<RunEnded>& ends = {}) {
+  HoldCall Hold(const std::vector<ListedRun>& runs, const std::vector<RunEnded>& ends = {},
+                const bool ends_complete = true) {
     m_now += 100ms;
     const auto sent = m_now;
     auto call = NextHold(m_agent, sent);
     CPPUNIT_ASSERT(call.has_value());
     m_now += 1ms;
-    OnHold(
-        m_agent, sent, m_now,
-        HoldAnswer{.m_born = m_worker.m_born, .m_clock_ms = 5000, .m_runs = runs, .m_ends = ends});
+    OnHold(m_agent, sent, m_now,
+           HoldAnswer{.m_born = m_worker.m_born,
+                      .m_clock_ms = 5000,
+                      .m_runs = runs,
+                      .m_ends = ends,
+                      .m_ends_complete = ends_complete});
     return *call;
   }
 
@@ -51,7 +57,7 @@
              const OrderKind kind = OrderKind::kStart) {
     return OnOrders(m_agent, m_now,
                     {.m_epoch = 1,
-                     .m_session = 9,
+                     .m_session = m_session,
                      .m_orders = {{.m_number = number,
                                    .m_kind = kind,
                                    .m_start = {.m_task = kTask, .m_run = run}}}})
@@ -72,8 +78,9 @@
     OnHold(m_agent, m_now, m_now, std::nullopt);
   }
 
-  /// Announces the next incarnation of the worker.
+  /// Announces the next worker, with which the coordinator begins another session.
   void Restart() {
+    ++m_session;
     m_worker.m_id.m_value += "+";
     m_worker.m_born += 1000;
     OnHeartbeat(m_agent, m_now, m_worker, 1);
@@ -99,6 +106,7 @@
   CPPUNIT_TEST(ALateHeartbeatChangesNothing);
   CPPUNIT_TEST(AnIncarnationThatNeverAnsweredGivesWay);
   CPPUNIT_TEST(EndsAreKeptUntilTheyAreRecorded);
+  CPPUNIT_TEST(ARunWhoseEndIsNotListedYetIsNotLost);
   CPPUNIT_TEST(ARunOfAnEarlierAgentIsDescribedAndProtected);
   CPPUNIT_TEST(ADescriptionStartsNothing);
   CPPUNIT_TEST(ADrainingWorkerStartsNothing);
@@ -132,7 +140,10 @@
     fixture.Grant(5s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Crashes());
     OnReportReply(fixture.m_agent, fixture.m_now,
-                  {.m_accepted = true, .m_epoch = 1, .m_session = 9, .m_recorded_crash = 1000});
+                  {.m_accepted = true,
+                   .m_epoch = 1,
+                   .m_session = fixture.m_session,
+                   .m_recorded_crash = 1000});
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Crashes());
   }
 
@@ -353,7 +364,11 @@
     fixture.m_now += 4s;
     const auto call = NextHold(fixture.m_agent, fixture.m_now);
     // The worker's clock was 5000 at the last answer, 4 s ago; 1 s of the grant is left.
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{5000 + 4000 + 1000}, call->m_deadline_ms);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5000 + 1000}, call->m_deadline_ms);
+    OnHold(fixture.m_agent, fixture.m_now, fixture.m_now,
+           HoldAnswer{.m_born = 1000, .m_clock_ms = 9000});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{9000 + 1000},
+                         NextHold(fixture.m_agent, fixture.m_now)->m_deadline_ms);
     OnHold(fixture.m_agent, fixture.m_now, fixture.m_now,
            HoldAnswer{.m_born = 1000, .m_clock_ms = 9000});
     fixture.m_now += 2s;
@@ -418,6 +433,21 @@
     }
   }
 
+  /// Guards against a run that is started elsewhere although its end `done` is acknowledged later,
+  /// when the worker has more ends than it lists at a time.
+  void ARunWhoseEndIsNotListedYetIsNotLost() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    (void)fixture.Hold({{.m_task = kTask, .m_run = 1}});
+    const RunEnded other{.m_number = 1, .m_task = {.m_job = {"k"}}, .m_run = 1};
+    const RunEnded end{.m_number = 2, .m_task = kTask, .m_run = 1};
+    (void)fixture.Hold({}, {other}, false);
+    CPPUNIT_ASSERT(fixture.Lists());
+    (void)fixture.Hold({}, {end});
+    CPPUNIT_ASSERT(!fixture.Lists());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, MakeReport(fixture.m_agent, fixture.m_now).m_ends.size());
+  }
+
   /// Guards against an end that is acknowledged to the worker before it is recorded.
   void EndsAreKeptUntilTheyAreRecorded() {
     GrantedAgent fixture;
