--- a/packages/core/tests/fleet/history_test.cc
+++ b/packages/core/tests/fleet/history_test.cc
@@ -12,8 +12,7 @@
 ///   grant ended without a later confirmation      none
 ///   session kept after its grant                  none
 ///
-/// Known: a task starts again when an agent restarts while its worker has more unacknowledged ends
-/// than it lists at a time. Seed 3 finds it after 48 to 1,116 histories.
+/// KNOWN-RED.txt lists the seeds that still fail beyond the number of histories in CI.
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
