Send the body of a call at most once

Callers saw two runs of a task: a worker carried out a start, reset the connection, and its task was started on another worker as well.

Cause: the HTTP client repeats a request of any method when a reused connection is closed before the status line. The caller sees only the answer to the repetition, so a 503 was taken as "nothing was done" although the first transmission had started the run.

Change: bodies are sent from a buffer that cannot be rewound, which keeps the client from repeating the call; it reports a lost connection instead, and the agent handles a start without an answer as before. Reads may still be repeated.

--- a/packages/platform/src/http_log_service.cc
+++ b/packages/platform/src/http_log_service.cc
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <utility>
 
+#include "ebonypin/platform/http_body.h"
 #include "ebonypin/platform/log_service.h"
 
 namespace ebonypin::platform {
@@ -125,7 +126,7 @@
     body["data"] = value::string(utility::conversions::to_base64({bytes.begin(), bytes.end()}));
     http_request request(web::http::methods::POST);
     request.set_request_uri(StreamPath(stream));
-    request.set_body(body);
+    SetSingleUseBody(request, body.serialize());
     const auto outcome = m_appends.Send(request, {});
     if (outcome.m_error || outcome.m_status != web::http::status_codes::OK) {
       return core::Fail(ErrorOfStatus(outcome));
--- a/packages/platform/src/http_worker.cc
+++ b/packages/platform/src/http_worker.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "ebonypin/platform/http_body.h"
 #include "ebonypin/platform/http_caller.h"
 #include "ebonypin/platform/worker_client.h"
 #include "worker_codec.h"
@@ -157,7 +158,7 @@
     request.set_request_uri("/serve");
     request.headers().add("X-Request-Id", call.m_request.m_value);
     request.headers().add("X-Request-Class", call.m_class.m_value);
-    request.set_body(call.m_payload);
+    SetSingleUseBody(request, call.m_payload, "text/plain; charset=utf-8");
     m_caller->Call(request, call.m_deadline,
                    [done = std::move(done)](core::Captured<HttpResponse> answer) {
                      done(ReadServed(std::move(answer)));
@@ -174,7 +175,7 @@
   static http_request Post(const std::string& uri, const value& body) {
     http_request request(web::http::methods::POST);
     request.set_request_uri(uri);
-    request.set_body(body);
+    SetSingleUseBody(request, body.serialize());
     return request;
   }
 
