Keep a stop order for a run that the agent does not hold

Back ends worked on tasks whose jobs had been cancelled, until the tasks ended by themselves.

Cause: an agent that had taken a start as refused dropped a stop order for the run, because it held no such run, and counted the order as taken. When the worker had carried the start out and listed the run, the agent tracked it as running, and the coordinator, whose order was taken, gave no second one. A listed run beside another run of its task was skipped altogether.

Change: such a stop is sent to the worker until it answers; a worker that has stopped a run refuses it from then on. A run that is listed while its stop is open is stopped. Of two runs of a task the earlier one is stopped, and a later one than the agent holds is reported.

Evidence: the generated histories now cancel jobs and wait until the workers are idle.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -96,6 +96,13 @@
   Time m_pace_uncertain_until;  ///< A pace call without an answer may act until this time.
 };
 
+/// Stop of a run that the agent does not hold. The worker may run it, or may still start it.
+struct StopOfUnheldRun {
+  RunNumber m_run = 0;
+  bool m_in_flight = false;
+  Time m_next_call;
+};
+
 /// Kind of a call to the worker about one run.
 enum class RunCallKind : std::uint8_t { kStart, kStop, kPace };
 
@@ -169,6 +176,8 @@
   std::int64_t m_clock_ms = 0;  ///< Last reading of the worker's clock, at `m_clock_at`.
   Time m_clock_at;
   std::map<TaskRef, LocalRun> m_runs;
+  /// Until the worker has confirmed them; it then refuses these runs.
+  std::map<TaskRef, StopOfUnheldRun> m_unheld_stops;
   std::vector<RunEnded> m_ends;
   std::uint64_t m_recorded_end = 0;
   std::uint64_t m_forgotten_end = 0;  ///< The worker lists no end up to this number any more.
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -38,6 +38,7 @@
 void BeginIncarnation(WorkerAgent& agent, const Time now) {
   KeepCrashedRuns(agent, now);
   agent.m_runs.clear();
+  agent.m_unheld_stops.clear();
   agent.m_lapsed_runs.clear();
   agent.m_ends.clear();
   agent.m_recorded_end = agent.m_forgotten_end = 0;
@@ -101,9 +102,21 @@
   agent.m_report_due = true;
 }
 
+/// Stops a run that the agent does not hold, unless the worker has listed its end.
+void StopUnheldRun(WorkerAgent& agent, const Time now, const TaskRef& task, const RunNumber run) {
+  const bool ended = std::any_of(agent.m_ends.begin(), agent.m_ends.end(), [&](const auto& end) {
+    return end.m_task == task && end.m_run >= run;
+  });
+  if (ended) return;
+  auto& stop = agent.m_unheld_stops[task];
+  if (stop.m_run < run) stop = {.m_run = run, .m_next_call = now};
+}
+
 void ApplyStop(WorkerAgent& agent, const Time now, const StartOrder& order) {
   const auto found = agent.m_runs.find(order.m_task);
-  if (found == agent.m_runs.end() || found->second.m_order.m_run != order.m_run) return;
+  if (found == agent.m_runs.end() || found->second.m_order.m_run != order.m_run) {
+    return StopUnheldRun(agent, now, order.m_task, order.m_run);
+  }
   LocalRun& run = found->second;
   if (run.m_stage == RunStage::kStopping) return;
   if (run.m_stage == RunStage::kStarting && !run.m_in_flight && !run.m_maybe_sent) {
@@ -228,6 +241,24 @@
   }
 }
 
+/// Begins to track a run that the agent does not hold: it was started by an earlier agent, or by a
+/// start call that was regarded as refused.
+LocalRun MakeListedRun(WorkerAgent& agent, const ListedRun& run) {
+  LocalRun local{.m_order = {.m_task = run.m_task, .m_run = run.m_run},
+                 .m_order_known = false,
+                 .m_stage = RunStage::kRunning,
+                 .m_arrival = ++agent.m_arrivals,
+                 // The share is not known, as an earlier agent may have reduced it.
+                 .m_paced = 0};
+  const auto stop = agent.m_unheld_stops.find(run.m_task);
+  if (stop != agent.m_unheld_stops.end() && stop->second.m_run >= run.m_run) {
+    local.m_stage = RunStage::kStopping;
+    if (stop->second.m_run == run.m_run) agent.m_unheld_stops.erase(stop);
+  }
+  agent.m_report_due = true;
+  return local;
+}
+
 /// Handles the worker's list of runs, which was made after `sent`.
 void TakeRuns(WorkerAgent& agent, const Time sent, const Time now, const HoldAnswer& answer) {
   std::map<TaskRef, RunNumber> listed;
@@ -235,18 +266,12 @@
     listed[run.m_task] = run.m_run;
     auto [found, added] = agent.m_runs.try_emplace(run.m_task);
     LocalRun& local = found->second;
-    if (added) {
-      // Started by an earlier agent, or by a start call that was regarded as refused.
-      local.m_order.m_task = run.m_task;
-      local.m_order.m_run = run.m_run;
-      local.m_order_known = false;
-      local.m_arrival = ++agent.m_arrivals;
-      // The share is not known, as an earlier agent may have reduced it.
-      local.m_paced = 0;
-      local.m_stage = RunStage::kRunning;
-      agent.m_report_due = true;
+    if (added || local.m_order.m_run < run.m_run) local = MakeListedRun(agent, run);
+    if (local.m_order.m_run != run.m_run) {
+      // The coordinator has given the task a later run, and would never hear of this one.
+      StopUnheldRun(agent, now, run.m_task, run.m_run);
+      continue;
     }
-    if (local.m_order.m_run != run.m_run) continue;
     if (local.m_stage == RunStage::kStarting) {
       local.m_stage = RunStage::kRunning;
       agent.m_report_due = true;
@@ -330,6 +355,25 @@
   }
 }
 
+/// Handles the answer to a stop of a run that the agent did not hold. Returns false when there is
+/// no such stop.
+bool OnUnheldStopAnswer(WorkerAgent& agent, const Time now, const RunCall& call,
+                        const RunAnswer answer) {
+  const auto found = agent.m_unheld_stops.find(call.m_order.m_task);
+  if (found == agent.m_unheld_stops.end()) return false;
+  auto& stop = found->second;
+  if (stop.m_run != call.m_order.m_run || !stop.m_in_flight) return false;
+  const bool settled = answer == RunAnswer::kOk || answer == RunAnswer::kRefused ||
+                       answer == RunAnswer::kOtherWorker;
+  if (settled) {
+    agent.m_unheld_stops.erase(found);
+  } else {
+    stop.m_in_flight = false;
+    stop.m_next_call = now + agent.m_options.m_call_retry;
+  }
+  return true;
+}
+
 void OnStopAnswer(WorkerAgent& agent, const Time now, LocalRun& run, const RunAnswer answer) {
   if (answer == RunAnswer::kOk) {
     run.m_stopped = true;
@@ -340,6 +384,33 @@
   run.m_next_call = now + agent.m_options.m_call_retry;
 }
 
+/// Returns the call about `run` that is due at `now`, if any.
+std::optional<RunCall> MakeCall(WorkerAgent& agent, const Time now, LocalRun& run) {
+  RunCall call{.m_order = run.m_order};
+  switch (run.m_stage) {
+    case RunStage::kStarting:
+      if (!agent.m_worker.m_reachable) return std::nullopt;
+      call.m_deadline_ms = GiveLease(agent, now);
+      if (call.m_deadline_ms == 0) return std::nullopt;
+      if (run.m_started == Time{}) run.m_started = now;
+      return call;
+    case RunStage::kStopping:
+      call.m_kind = RunCallKind::kStop;
+      return call;
+    case RunStage::kRunning: {
+      const auto wanted = run.m_allowed;
+      const bool unsure = wanted < 100 || run.m_paced < 100 || now < run.m_pace_uncertain_until;
+      const bool repeat = unsure && run.m_paced_at != Time{} &&
+                          now - run.m_paced_at >= agent.m_options.m_pace_repeat;
+      if (!run.m_order.m_fills || (run.m_paced == wanted && !repeat)) return std::nullopt;
+      call.m_kind = RunCallKind::kPace;
+      call.m_percent = wanted;
+      return call;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 void Begin(WorkerAgent& agent, const Time now) { ExpectLongestLease(agent, now); }
@@ -546,47 +617,41 @@
 std::vector<RunCall> NextCalls(WorkerAgent& agent, const Time now) {
   std::vector<RunCall> calls;
   if (agent.m_clock_at == Time{}) return calls;
-  auto in_flight = static_cast<std::size_t>(
-      std::count_if(agent.m_runs.begin(), agent.m_runs.end(),
-                    [](const auto& entry) { return entry.second.m_in_flight; }));
+  const auto is_in_flight = [](const auto& entry) { return entry.second.m_in_flight; };
+  const auto in_flight = static_cast<std::size_t>(
+      std::count_if(agent.m_runs.begin(), agent.m_runs.end(), is_in_flight) +
+      std::count_if(agent.m_unheld_stops.begin(), agent.m_unheld_stops.end(), is_in_flight));
+  const std::size_t limit =
+      agent.m_options.m_max_calls - std::min(in_flight, agent.m_options.m_max_calls);
+  for (auto& [task, stop] : agent.m_unheld_stops) {
+    if (calls.size() >= limit) break;
+    if (stop.m_in_flight || now < stop.m_next_call) continue;
+    stop.m_in_flight = true;
+    calls.push_back(
+        {.m_kind = RunCallKind::kStop, .m_order = {.m_task = task, .m_run = stop.m_run}});
+  }
   for (auto& [task, run] : agent.m_runs) {
-    if (in_flight >= agent.m_options.m_max_calls) break;
+    if (calls.size() >= limit) break;
     if (run.m_in_flight || now < run.m_next_call) continue;
-    RunCall call{.m_order = run.m_order};
-    switch (run.m_stage) {
-      case RunStage::kStarting:
-        if (!agent.m_worker.m_reachable) continue;
-        call.m_deadline_ms = GiveLease(agent, now);
-        if (call.m_deadline_ms == 0) continue;
-        if (run.m_started == Time{}) run.m_started = now;
-        break;
-      case RunStage::kStopping:
-        call.m_kind = RunCallKind::kStop;
-        break;
-      case RunStage::kRunning: {
-        const auto wanted = run.m_allowed;
-        const bool unsure = wanted < 100 || run.m_paced < 100 || now < run.m_pace_uncertain_until;
-        const bool repeat = unsure && run.m_paced_at != Time{} &&
-                            now - run.m_paced_at >= agent.m_options.m_pace_repeat;
-        if (!run.m_order.m_fills || (run.m_paced == wanted && !repeat)) continue;
-        call.m_kind = RunCallKind::kPace;
-        call.m_percent = wanted;
-        break;
-      }
+    if (auto call = MakeCall(agent, now, run)) {
+      run.m_in_flight = true;
+      calls.push_back(std::move(*call));
     }
-    run.m_in_flight = true;
-    ++in_flight;
-    calls.push_back(std::move(call));
   }
   return calls;
 }
 
 void OnRunAnswer(WorkerAgent& agent, const Time now, const RunCall& call, const RunAnswer answer) {
+  const bool stops = call.m_kind == RunCallKind::kStop;
   const auto found = agent.m_runs.find(call.m_order.m_task);
-  if (found == agent.m_runs.end() || found->second.m_order.m_run != call.m_order.m_run) return;
+  const bool held =
+      found != agent.m_runs.end() && found->second.m_order.m_run == call.m_order.m_run;
+  const bool unheld_stop = stops && OnUnheldStopAnswer(agent, now, call, answer);
+  if (!held && !unheld_stop) return;
+  if (answer == RunAnswer::kFenced) RaiseFence(agent);
+  if (unheld_stop) return;
   LocalRun& run = found->second;
   run.m_in_flight = false;
-  if (answer == RunAnswer::kFenced) RaiseFence(agent);
   switch (call.m_kind) {
     case RunCallKind::kStart:
       return OnStartAnswer(agent, now, run, answer);
@@ -612,6 +677,7 @@
   if (agent.m_worker.m_reachable || now < agent.m_leased_until) return;
   if (agent.m_runs_known && agent.m_runs.empty() && agent.m_ends_complete) return;
   agent.m_lapsed_runs = std::exchange(agent.m_runs, {});
+  agent.m_unheld_stops.clear();
   agent.m_runs_known = true;
   // Ends that were not acknowledged before the lease ended no longer count.
   agent.m_ends_complete = true;
--- a/packages/core/tests/fleet/history_events.cc
+++ b/packages/core/tests/fleet/history_events.cc
@@ -47,6 +47,8 @@
     "occurrence started",
     "evacuation",
     "more than 500 unacknowledged ends",
+    "job cancelled soon after its submission",
+    "start carried out and answered as not carried out",
 };
 
 }  // namespace
--- a/packages/core/tests/fleet/history_events.h
+++ b/packages/core/tests/fleet/history_events.h
@@ -54,6 +54,8 @@
   kOccurrenceStarted,
   kEvacuated,
   kManyEnds,
+  kCancelled,
+  kStartAnsweredFalsely,
   kCount
 };
 
--- a/packages/core/tests/fleet/simulated_workers.cc
+++ b/packages/core/tests/fleet/simulated_workers.cc
@@ -303,6 +303,11 @@
           .m_capacity = {.m_cpu_millis = kWorkerCpuMillis, .m_memory_mb = 4000}};
 }
 
+bool SimulatedWorkers::HasRuns() const {
+  return std::any_of(m_workers.begin(), m_workers.end(),
+                     [](const auto& worker) { return !worker.m_runs.empty(); });
+}
+
 std::set<WorkerId> SimulatedWorkers::Ids() const {
   std::set<WorkerId> ids;
   for (const auto& worker : m_workers) {
--- a/packages/core/tests/fleet/simulated_workers.h
+++ b/packages/core/tests/fleet/simulated_workers.h
@@ -82,6 +82,8 @@
   [[nodiscard]] const SimulatedWorker& At(const std::size_t i) const { return m_workers.at(i); }
   [[nodiscard]] std::size_t Size() const { return m_workers.size(); }
   [[nodiscard]] std::set<WorkerId> Ids() const;
+  /// Returns whether a worker has runs.
+  [[nodiscard]] bool HasRuns() const;
   [[nodiscard]] const std::vector<std::string>& Violations() const { return m_violations; }
   void AddViolation(std::string text) { m_violations.push_back(std::move(text)); }
 
--- a/packages/core/tests/fleet/simulation.cc
+++ b/packages/core/tests/fleet/simulation.cc
@@ -67,6 +67,8 @@
   if (auto* const leader = Leader()) {
     (void)OnCall(leader->m_state, m_now, {.m_kind = JobCallKind::kSubmit, .m_job = job});
   }
+  if (m_mix.m_cancels == 0.0 || !m_dice.Fault(m_mix.m_cancels, Event::kCancelled)) return;
+  m_agenda.At(m_now + m_dice.Between(20ms, 600ms), [this, id = job.m_id] { Cancel(id); });
 }
 
 void Simulation::Cancel(const JobId& job) {
@@ -92,12 +94,16 @@
     auto* const leader = Leader();
     if (leader == nullptr || leader->m_leadership.m_epoch < m_store.m_claim.m_epoch) continue;
     bool open = false;
+    std::vector<JobId> lasting;
     for (const auto& [id, job] : leader->m_state.m_jobs) {
       open = open || !job.m_closed;
-      const bool lasts = !job.m_closed && job.m_spec.m_steps[0].m_long_running;
-      if (lasts && step > 500 && step % 50 == 0) return Cancel(id), SettlesWithin(until - m_now);
+      if (!job.m_closed && job.m_spec.m_steps[0].m_long_running) lasting.push_back(id);
     }
-    if (!open && leader->m_state.m_silent_members.empty()) return true;
+    if (step > 500 && step % 50 == 0) {
+      for (const auto& id : lasting) Cancel(id);
+    }
+    if (open || !leader->m_state.m_silent_members.empty()) continue;
+    if (!m_workers.HasRuns()) return true;
   }
   return false;
 }
@@ -131,6 +137,12 @@
       text << '\n';
     }
   }
+  for (std::size_t i = 0; i < m_workers.Size(); ++i) {
+    for (const auto& [task, run] : m_workers.At(i).m_runs) {
+      text << "worker " << i << " runs " << task.m_job.m_value << " task " << task.m_index
+           << " run " << run.m_run << '\n';
+    }
+  }
   for (const auto& agent : m_agents) {
     const auto& state = agent.m_state;
     text << state.m_id.m_value << " epoch " << state.m_epoch << " coordinator "
--- a/packages/core/tests/fleet/simulation.h
+++ b/packages/core/tests/fleet/simulation.h
@@ -30,6 +30,9 @@
   double m_append_faults = 0.05;
   double m_born_back = 0.03;     ///< Share of restarts of a worker.
   double m_many_ends = 0.00005;  ///< Share of steps, each worker.
+  double m_cancels = 0.0;        ///< Share of jobs, soon after their submission.
+  /// Share of starts that a worker carries out and answers as busy.
+  double m_false_answers = 0.0;
 };
 
 struct SimulatedAgent {
@@ -82,7 +85,7 @@
   void Submit(const JobSpec& job);
   void Cancel(const JobId& job);
 
-  /// Ends all faults and returns whether all jobs end within `limit`.
+  /// Ends all faults and returns whether all jobs and all runs end within `limit`.
   bool SettlesWithin(Duration limit);
 
   [[nodiscard]] const std::vector<std::string>& Violations() const {
--- a/packages/core/tests/fleet/simulation_agents.cc
+++ b/packages/core/tests/fleet/simulation_agents.cc
@@ -147,7 +147,12 @@
       answer(m_dice.Between(20ms, 1s), RunAnswer::kNoAnswer);
       continue;
     }
-    const auto how = carry_out();
+    auto how = carry_out();
+    if (m_mix.m_false_answers > 0.0 && call.m_kind == RunCallKind::kStart &&
+        how == RunAnswer::kOk &&
+        m_dice.Fault(m_mix.m_false_answers, Event::kStartAnsweredFalsely)) {
+      how = RunAnswer::kBusy;
+    }
     answer(Lag(), m_dice.Fault(m_mix.m_message_faults) ? RunAnswer::kNoAnswer : how);
   }
 }
--- /dev/null
+++ b/packages/core/tests/fleet/stop_order_test.cc
@@ -0,0 +1,107 @@
+/// Stop orders for runs that the agent does not hold when it takes the order.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "agent_fixture.h"
+
+namespace ebonypin::core::fleet {
+namespace {
+
+/// Returns the stop calls that are due, and answers them.
+std::vector<RunNumber> AnswerStops(GrantedAgent& fixture, const RunAnswer answer) {
+  std::vector<RunNumber> stops;
+  for (const auto& call : NextCalls(fixture.m_agent, fixture.m_now)) {
+    if (call.m_kind == RunCallKind::kStop) stops.push_back(call.m_order.m_run);
+    OnRunAnswer(fixture.m_agent, fixture.m_now, call, answer);
+  }
+  return stops;
+}
+
+using Runs = std::vector<RunNumber>;
+
+class StopOrderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StopOrderTest);
+  CPPUNIT_TEST(ARunThatTheWorkerListsAfterTheStopOrderIsStopped);
+  CPPUNIT_TEST(ARunThatTheWorkerStartsAfterTheStopOrderIsRefused);
+  CPPUNIT_TEST(AStopWithoutAnAnswerIsRepeated);
+  CPPUNIT_TEST(ARunWhoseEndIsListedNeedsNoStop);
+  CPPUNIT_TEST(AnEarlierRunOfATaskIsStoppedBesideTheLaterOne);
+  CPPUNIT_TEST(ALaterRunThanTheOneHeldIsReported);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against runs of cancelled jobs that work on: their agent had taken the stop order while
+  /// it regarded the start as refused, and the worker had carried the start out.
+  void ARunThatTheWorkerListsAfterTheStopOrderIsStopped() {
+    GrantedAgent fixture;
+    (void)fixture.Order(1, 1);
+    const auto calls = NextCalls(fixture.m_agent, fixture.m_now);
+    OnRunAnswer(fixture.m_agent, fixture.m_now, calls.at(0), RunAnswer::kBusy);
+    CPPUNIT_ASSERT(fixture.Order(2, 1, OrderKind::kStop));
+    (void)fixture.Hold({{.m_task = kTask, .m_run = 1, .m_percent = 1}});
+    CPPUNIT_ASSERT(fixture.Lists());
+    CPPUNIT_ASSERT(AnswerStops(fixture, RunAnswer::kOk) == Runs{1});
+    (void)fixture.Hold({});
+    CPPUNIT_ASSERT(!fixture.Lists());
+  }
+
+  /// Guards against the same when the worker carries out the start after the stop order.
+  void ARunThatTheWorkerStartsAfterTheStopOrderIsRefused() {
+    GrantedAgent fixture;
+    CPPUNIT_ASSERT(fixture.Order(1, 1, OrderKind::kStop));
+    // A worker that has stopped a run refuses to start it.
+    CPPUNIT_ASSERT(AnswerStops(fixture, RunAnswer::kOk) == Runs{1});
+    CPPUNIT_ASSERT(!fixture.Lists());
+    fixture.m_now += 10s;
+    CPPUNIT_ASSERT(NextCalls(fixture.m_agent, fixture.m_now).empty());
+  }
+
+  void AStopWithoutAnAnswerIsRepeated() {
+    GrantedAgent fixture;
+    CPPUNIT_ASSERT(fixture.Order(1, 1, OrderKind::kStop));
+    for (const auto answer : {RunAnswer::kNoAnswer, RunAnswer::kBusy, RunAnswer::kFenced}) {
+      CPPUNIT_ASSERT(AnswerStops(fixture, answer) == Runs{1});
+      CPPUNIT_ASSERT(NextCalls(fixture.m_agent, fixture.m_now).empty());
+      fixture.m_now += fixture.m_agent.m_options.m_call_retry;
+    }
+    // Another life of the worker has no runs of the former one.
+    CPPUNIT_ASSERT(AnswerStops(fixture, RunAnswer::kOtherWorker) == Runs{1});
+    fixture.m_now += fixture.m_agent.m_options.m_call_retry;
+    CPPUNIT_ASSERT(NextCalls(fixture.m_agent, fixture.m_now).empty());
+  }
+
+  /// Guards against a call for each run that ends while its stop order is on the way.
+  void ARunWhoseEndIsListedNeedsNoStop() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    (void)fixture.Hold({}, {{.m_number = 1, .m_task = kTask, .m_run = 1}});
+    CPPUNIT_ASSERT(fixture.Order(2, 1, OrderKind::kStop));
+    CPPUNIT_ASSERT(NextCalls(fixture.m_agent, fixture.m_now).empty());
+  }
+
+  /// Guards against a run that nobody hears of, because its agent holds another run of the task.
+  void AnEarlierRunOfATaskIsStoppedBesideTheLaterOne() {
+    GrantedAgent fixture;
+    CPPUNIT_ASSERT(fixture.Order(1, 2));
+    (void)NextCalls(fixture.m_agent, fixture.m_now);
+    (void)fixture.Hold({{.m_task = kTask, .m_run = 1}});
+    CPPUNIT_ASSERT(AnswerStops(fixture, RunAnswer::kOk) == Runs{1});
+    const auto report = MakeReport(fixture.m_agent, fixture.m_now);
+    CPPUNIT_ASSERT_EQUAL(RunNumber{2}, report.m_runs.at(0).m_run);
+  }
+
+  /// Guards against the same where the worker has the later run.
+  void ALaterRunThanTheOneHeldIsReported() {
+    GrantedAgent fixture;
+    fixture.StartRun(1, 1);
+    (void)fixture.Hold({{.m_task = kTask, .m_run = 2}});
+    const auto report = MakeReport(fixture.m_agent, fixture.m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.m_runs.size());
+    CPPUNIT_ASSERT_EQUAL(RunNumber{2}, report.m_runs[0].m_run);
+    CPPUNIT_ASSERT(!report.m_runs[0].m_order_known);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopOrderTest);
+
+}  // namespace
+}  // namespace ebonypin::core::fleet
