Order a stop again when its run stays listed

Back ends worked on tasks whose jobs had been cancelled, until the tasks ended by themselves.

Cause: a coordinator ordered the stop of a run once. Once its agent had taken the order, only a new session or a report without the run made another one possible, so a stop that the agent had lost was never repeated while it listed the run.

Change: a stop whose run is listed for 1.5 s after the agent has taken it is ordered again.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -52,6 +52,10 @@
   Duration m_refusal_delay = std::chrono::milliseconds{150};
   /// Limit on unconfirmed orders to one agent; further starts wait.
   std::size_t m_max_unconfirmed = 64;
+  /// A stop is ordered again when its agent has taken it and lists the run for this time after
+  /// that. Longer than a stop takes at a worker that answers (0.9 s), and half of the time in which
+  /// the runs of a cancelled job must have been stopped.
+  Duration m_stop_repeat = std::chrono::milliseconds{1500};
   /// A run without progress for this time, or for its estimate if that is longer, is stopped and
   /// moved. Doubles with each such stop, because the task may not report its progress.
   Duration m_stall_limit = std::chrono::milliseconds{1800};
@@ -153,6 +157,7 @@
   std::uint32_t m_percent = 0;       ///< Progress of the current run.
   std::uint32_t m_stalls = 0;        ///< Runs that were stopped because they made no progress.
   bool m_stopping = false;           ///< A stop of the current run was ordered.
+  Time m_stop_taken;                 ///< First report after the agent had taken the stop.
   AgentId m_agent;                   ///< Agent of the current run.
   std::uint64_t m_order = 0;  ///< Number of the start order in the session; zero: adopted run.
   Time m_placed;
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -33,12 +33,16 @@
   return agent.m_orders.back();
 }
 
+/// Returns whether an order about the task has not been confirmed.
+[[nodiscard]] bool HasOrder(const Agent& agent, const TaskRef& ref) noexcept {
+  return std::any_of(agent.m_orders.begin(), agent.m_orders.end(),
+                     [&](const Order& order) { return order.m_start.m_task == ref; });
+}
+
 /// Sends the start order of a run that an earlier agent started. Without its target and image a
 /// serving run would not be protected from filling runs.
 void DescribeRun(Agent& agent, const Job& job, const TaskRef& ref, const Task& task) {
-  const bool ordered = std::any_of(agent.m_orders.begin(), agent.m_orders.end(),
-                                   [&](const Order& order) { return order.m_start.m_task == ref; });
-  if (ordered) return;
+  if (HasOrder(agent, ref)) return;
   Order& order = AddOrder(agent);
   order.m_kind = OrderKind::kDescribe;
   order.m_start = OrderFor(job, ref, task);
@@ -68,6 +72,16 @@
   }
 }
 
+/// Orders the stop of a listed run again if the agent has taken the order and goes on listing the
+/// run, which it may have begun to track after it had taken the order.
+void RepeatStop(Coordinator& state, const Time now, Agent& agent, const TaskRef& ref, Task& task) {
+  if (!task.m_stopping || HasOrder(agent, ref)) return;
+  if (task.m_stop_taken == Time{}) task.m_stop_taken = now;
+  if (now - task.m_stop_taken < state.m_options.m_stop_repeat) return;
+  task.m_stopping = false;
+  OrderStop(state, ref, task, "its agent has taken a stop and still lists the run");
+}
+
 /// Updates since when a filling task has been slow, from the processors that it uses.
 void UpdateSlowSince(const Coordinator& state, const Time now, const RunStatus& run,
                      const StepSpec& spec, Task& task) {
@@ -134,6 +148,7 @@
   UpdateSlowSince(state, now, run, job->m_spec.m_steps[run.m_task.m_step], *task);
   if (!run.m_order_known) DescribeRun(agent, *job, run.m_task, *task);
   if (job->m_closed) OrderStop(state, run.m_task, *task, "its job is closed");
+  RepeatStop(state, now, agent, run.m_task, *task);
 }
 
 /// Removes the placed runs that the agent would have listed if they were running.
@@ -221,6 +236,7 @@
   if (task.m_stopping) return;
   Agent& agent = state.m_agents.at(task.m_agent);
   task.m_stopping = true;
+  task.m_stop_taken = {};
   if (const auto placed = agent.m_placed_runs.find(ref); placed != agent.m_placed_runs.end()) {
     placed->second.m_stopping = true;
   }
--- a/packages/core/tests/fleet/stop_order_test.cc
+++ b/packages/core/tests/fleet/stop_order_test.cc
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "agent_fixture.h"
+#include "fleet_fixture.h"
 
 namespace ebonypin::core::fleet {
 namespace {
@@ -26,6 +27,8 @@
   CPPUNIT_TEST(ARunWhoseEndIsListedNeedsNoStop);
   CPPUNIT_TEST(AnEarlierRunOfATaskIsStoppedBesideTheLaterOne);
   CPPUNIT_TEST(ALaterRunThanTheOneHeldIsReported);
+  CPPUNIT_TEST(ARunThatIsListedOnAfterItsStopWasTakenIsStoppedAgain);
+  CPPUNIT_TEST(AStopIsNotRepeatedWhileItIsCarriedOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -99,6 +102,43 @@
     CPPUNIT_ASSERT_EQUAL(RunNumber{2}, report.m_runs[0].m_run);
     CPPUNIT_ASSERT(!report.m_runs[0].m_order_known);
   }
+
+  /// Guards against a run of a cancelled job that works on because its agent took the only stop
+  /// order before it tracked the run.
+  void ARunThatIsListedOnAfterItsStopWasTakenIsStoppedAgain() {
+    Site site = CancelRunningJob();
+    site.ListPlacedRuns("a");
+    CPPUNIT_ASSERT(site.Stops().empty());
+    site.Advance(site.m_state.m_options.m_stop_repeat);
+    site.ListPlacedRuns("a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Stops().size());
+  }
+
+  /// Guards against an order with each report while a stop is carried out.
+  void AStopIsNotRepeatedWhileItIsCarriedOut() {
+    Site site = CancelRunningJob();
+    for (int i = 0; i < 3; ++i) {
+      site.ListPlacedRuns("a");
+      CPPUNIT_ASSERT(site.Stops().empty());
+      site.Advance(site.m_state.m_options.m_stop_repeat / 4);
+    }
+  }
+
+ private:
+  /// Returns a site with a run whose job is cancelled and whose agent has taken the stop order.
+  static Site CancelRunningJob() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeJob("j"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    (void)OnCall(site.m_state, site.m_now,
+                 {.m_kind = JobCallKind::kCancel, .m_job = {.m_id = {"j"}}});
+    site.Write();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Stops().size());
+    const auto& agent = site.m_state.m_agents.at({"a"});
+    OnOrdersTaken(site.m_state, {"a"}, agent.m_session, agent.m_next_order - 1);
+    return site;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopOrderTest);
