Send stops before starts and paces

Cause: an agent made its calls in the order of the runs' ids, eight at a time. At a worker that does not answer, starts and paces hold the eight slots until their deadlines of 0.7 s, and stops behind them wait, again after each retry.

Change: stops are sent first.

Evidence: the new test fails without the change: with one slot, the start of an earlier id is sent instead of the stop. No figure was taken for the time that stops wait at a failing worker.

--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -630,12 +630,16 @@
     calls.push_back(
         {.m_kind = RunCallKind::kStop, .m_order = {.m_task = task, .m_run = stop.m_run}});
   }
-  for (auto& [task, run] : agent.m_runs) {
-    if (calls.size() >= limit) break;
-    if (run.m_in_flight || now < run.m_next_call) continue;
-    if (auto call = MakeCall(agent, now, run)) {
-      run.m_in_flight = true;
-      calls.push_back(std::move(*call));
+  // Starts at a worker that does not answer would keep stops waiting for their deadlines.
+  for (const bool stops : {true, false}) {
+    for (auto& [task, run] : agent.m_runs) {
+      if (calls.size() >= limit) break;
+      if (run.m_in_flight || now < run.m_next_call) continue;
+      if ((run.m_stage == RunStage::kStopping) != stops) continue;
+      if (auto call = MakeCall(agent, now, run)) {
+        run.m_in_flight = true;
+        calls.push_back(std::move(*call));
+      }
     }
   }
   return calls;
--- a/packages/core/tests/fleet/stop_order_test.cc
+++ b/packages/core/tests/fleet/stop_order_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ARunWhoseEndIsListedNeedsNoStop);
   CPPUNIT_TEST(AnEarlierRunOfATaskIsStoppedBesideTheLaterOne);
   CPPUNIT_TEST(ALaterRunThanTheOneHeldIsReported);
+  CPPUNIT_TEST(StopsDoNotWaitForStarts);
   CPPUNIT_TEST(ARunThatIsListedOnAfterItsStopWasTakenIsStoppedAgain);
   CPPUNIT_TEST(AStopIsNotRepeatedWhileItIsCarriedOut);
   CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,20 @@
     CPPUNIT_ASSERT(!report.m_runs[0].m_order_known);
   }
 
+  /// Guards against stops that wait for the deadlines of starts at a worker that does not answer.
+  void StopsDoNotWaitForStarts() {
+    GrantedAgent fixture;
+    fixture.m_agent.m_options.m_max_calls = 1;
+    CPPUNIT_ASSERT(fixture.Order(1, 1));
+    auto later = kTask;
+    later.m_index = 1;
+    fixture.m_agent.m_runs[later] = {.m_order = {.m_task = later, .m_run = 7},
+                                     .m_stage = RunStage::kStopping};
+    const auto calls = NextCalls(fixture.m_agent, fixture.m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls.size());
+    CPPUNIT_ASSERT(calls[0].m_kind == RunCallKind::kStop);
+  }
+
   /// Guards against a run of a cancelled job that works on because its agent took the only stop
   /// order before it tracked the run.
   void ARunThatIsListedOnAfterItsStopWasTakenIsStoppedAgain() {
