Log an agent that reports but takes no orders

Cause: reports and orders use different connections. When the coordinator cannot reach an agent whose reports arrive, the reports go on extending the grant, and so the leases of runs that are ordered to stop. Nothing showed it.

Evidence: the new test fails without the change.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -56,6 +56,9 @@
   /// that. Longer than a stop takes at a worker that answers (0.9 s), and half of the time in which
   /// the runs of a cancelled job must have been stopped.
   Duration m_stop_repeat = std::chrono::milliseconds{1500};
+  /// An agent that reports but takes no order for this time is logged. Longer than three calls that
+  /// get no answer.
+  Duration m_order_patience = std::chrono::milliseconds{2500};
   /// A run without progress for this time, or for its estimate if that is longer, is stopped and
   /// moved. Doubles with each such stop, because the task may not report its progress.
   Duration m_stall_limit = std::chrono::milliseconds{1800};
@@ -252,6 +255,10 @@
   Time m_granted;                   ///< Time of the last reply with a grant.
   std::uint64_t m_next_order = 1;
   std::deque<Order> m_orders;  ///< Unconfirmed orders.
+  /// Oldest unconfirmed order at the last tick, and the time since when it has been; zero: none.
+  std::uint64_t m_waiting_order = 0;
+  Time m_waiting_since;
+  bool m_waiting_logged = false;
   std::map<TaskRef, PlacedRun> m_placed_runs;
   Resources m_used;  ///< By placed runs, without the processors of filling tasks.
   std::int64_t m_filling_cpu_millis = 0;
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -63,6 +63,7 @@
   ++state.m_workers_added;
   agent.m_next_order = 1;
   agent.m_orders.clear();
+  agent.m_waiting_order = 0;
   for (const auto& [ref, placed] : agent.m_placed_runs) {
     if (Task* const task = FindTask(state, ref)) {
       task->m_order = 0;
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -48,6 +48,24 @@
   agent.m_record_request = 0;
 }
 
+/// Logs once when the agent, whose reports arrive, takes no orders: its runs then cannot be stopped
+/// while its reports keep their leases alive.
+void CheckOrders(Coordinator& state, const Time now, Agent& agent) {
+  const std::uint64_t oldest = agent.m_orders.empty() ? 0 : agent.m_orders.front().m_number;
+  if (oldest != agent.m_waiting_order) {
+    agent.m_waiting_order = oldest;
+    agent.m_waiting_since = now;
+    agent.m_waiting_logged = false;
+  }
+  const bool waits = oldest != 0 && now - agent.m_waiting_since >= state.m_options.m_order_patience;
+  if (!waits || agent.m_waiting_logged) return;
+  agent.m_waiting_logged = true;
+  LogFailure(state, "orders not taken", {}, 0, agent.m_id,
+             std::to_string(agent.m_orders.size()) +
+                 " orders wait while the agent reports; check " + "the way from this entry to " +
+                 agent.m_rpc_address);
+}
+
 /// Stops a run that makes no progress, so that its task is placed elsewhere.
 void CheckStall(Coordinator& state, const Time now, const TaskRef& ref, Task& task) {
   const Job& job = state.m_jobs.at(ref.m_job);
@@ -160,6 +178,7 @@
       if (HadGrantEnded(state, agent, confirmed)) EndGrant(state, now, agent);
       continue;
     }
+    CheckOrders(state, now, agent);
     // A run that is ordered to stop stays placed until its end is reported.
     for (const auto& [ref, run] : agent.m_placed_runs) {
       Task* const task = FindTask(state, ref);
--- a/packages/core/tests/fleet/stop_order_test.cc
+++ b/packages/core/tests/fleet/stop_order_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(StopsDoNotWaitForStarts);
   CPPUNIT_TEST(ARunThatIsListedOnAfterItsStopWasTakenIsStoppedAgain);
   CPPUNIT_TEST(AStopIsNotRepeatedWhileItIsCarriedOut);
+  CPPUNIT_TEST(OrdersThatAReportingAgentDoesNotTakeAreLoggedOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -129,6 +130,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Stops().size());
   }
 
+  /// Guards against an agent that cannot be reached with orders, unseen because its reports arrive.
+  void OrdersThatAReportingAgentDoesNotTakeAreLoggedOnce() {
+    Site site;
+    site.Join("a");
+    site.Accept(MakeJob("j"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    std::size_t logged = 0;
+    for (int i = 0; i < 40; ++i) {
+      auto report = site.Report("a");
+      report.m_last_order = 0;
+      (void)OnReport(site.m_state, site.m_now, report);
+      Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
+      const bool due = site.m_state.m_options.m_order_patience <= i * 250ms;
+      for (const auto& decision : std::exchange(site.m_state.m_decisions, {})) {
+        if (decision.m_what != "orders not taken") continue;
+        CPPUNIT_ASSERT(due && decision.m_failure);
+        ++logged;
+      }
+      site.Advance(250ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logged);
+  }
+
   /// Guards against an order with each report while a stop is carried out.
   void AStopIsNotRepeatedWhileItIsCarriedOut() {
     Site site = CancelRunningJob();
