Start tasks of nearly a whole worker on an empty one

Callers saw accepted jobs that stayed queued while all workers were idle.

Cause: the headroom for urgent tasks, 8 % of a worker's processors, was taken off the room of an empty worker too. A task of more than 92 % of a worker fitted nowhere.

Change: an empty worker has no headroom. Where smaller tasks are placed does not change, because they leave the headroom on an empty worker anyway.

--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -179,7 +179,8 @@
       return false;
     }
     size.m_cpu_millis = 0;
-  } else if (need.m_job.m_spec.m_policy.m_priority > 0) {
+  } else if (need.m_job.m_spec.m_policy.m_priority > 0 && agent.m_used.m_cpu_millis > 0) {
+    // On an empty worker the headroom would keep out only tasks that fit nowhere else either.
     room.m_cpu_millis -=
         static_cast<std::int64_t>(need.m_state.m_options.m_headroom *
                                   static_cast<double>(agent.m_worker.m_capacity.m_cpu_millis));
