Ask for advice again about a worker that has come back

Callers saw an accepted job with nothing running after the only worker with a ticket had crashed and come back under its id.

Cause: tickets were kept by worker id only, though a ticket is valid for one life of a worker. The worker rejected each start, and advice was asked for again only when half of the validity was over.

Change: the coordinator keeps for which life of a worker it has asked, uses no ticket of another one, and asks again.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -188,7 +188,9 @@
   Time m_advice_asked_at;
   Time m_advice_until;  ///< End of the tickets' validity.
   std::map<WorkerId, std::string> m_tickets;
-  std::set<WorkerId> m_advised;  ///< Workers that were asked about since the last tickets expired.
+  /// Workers that were asked about since the last tickets expired, each with the start of the life
+  /// (`WorkerInfo::m_born`) that its ticket is for.
+  std::map<WorkerId, std::int64_t> m_advised;
 };
 
 struct Occurrence {
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -43,6 +43,13 @@
 /// Returns whether the worker has room for the task now, without regard to advice.
 [[nodiscard]] bool HasCapacity(const TaskNeed& need, const Agent& agent) noexcept;
 
+/// Returns whether advice on this life of the worker was asked for, or is known.
+[[nodiscard]] bool IsAdvised(const StepState& step, const WorkerInfo& worker) noexcept;
+
+/// Returns the step's ticket for this life of the worker, or null.
+[[nodiscard]] const std::string* FindTicket(const StepState& step,
+                                            const WorkerInfo& worker) noexcept;
+
 /// Returns whether the worker may run the task now.
 [[nodiscard]] bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept;
 
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -113,8 +113,8 @@
   task.m_placed = task.m_progressed = agent.m_last_start = now;
   Order order{.m_number = agent.m_next_order++};
   order.m_start = OrderFor(need.m_job, need.m_ref, task);
-  const auto ticket = need.m_step.m_tickets.find(agent.m_worker.m_id);
-  if (ticket != need.m_step.m_tickets.end()) order.m_start.m_ticket = ticket->second;
+  const auto* const ticket = FindTicket(need.m_step, agent.m_worker);
+  if (ticket != nullptr) order.m_start.m_ticket = *ticket;
   task.m_order = order.m_number;
   agent.m_orders.push_back(std::move(order));
   AddPlacedRun(state, agent, need.m_ref, task);
@@ -284,18 +284,17 @@
 
 /// Returns the workers to ask the advice service about next: workers with room first, without those
 /// already asked about. Empty while there is a ticket for a worker with room.
-std::vector<WorkerId> NextToAdvise(const Coordinator& state, const TaskNeed& need) {
+std::vector<const WorkerInfo*> NextToAdvise(const Coordinator& state, const TaskNeed& need) {
   constexpr std::size_t kMaxWorkersPerRequest = 100;  // Limit of the advice service.
-  std::vector<WorkerId> with_room;
-  std::vector<WorkerId> full;
+  std::vector<const WorkerInfo*> with_room;
+  std::vector<const WorkerInfo*> full;
   for (const auto& [id, agent] : state.m_agents) {
     if (!IsEligible(need, agent)) continue;
-    const WorkerId& worker = agent.m_worker.m_id;
     const bool has_room = HasCapacity(need, agent);
-    if (need.m_step.m_tickets.count(worker) > 0) {
+    if (FindTicket(need.m_step, agent.m_worker) != nullptr) {
       if (has_room) return {};
-    } else if (need.m_step.m_advised.count(worker) == 0) {
-      (has_room ? with_room : full).push_back(worker);
+    } else if (!IsAdvised(need.m_step, agent.m_worker)) {
+      (has_room ? with_room : full).push_back(&agent.m_worker);
     }
   }
   // After the first answer another call is only worth its cost for workers with room.
@@ -327,9 +326,14 @@
                       .m_step = step,
                       .m_ref = request.m_step,
                       .m_task = step.m_tasks.front()};
-  request.m_workers = NextToAdvise(state, need);
-  if (request.m_workers.empty()) return valid;
-  step.m_advised.insert(request.m_workers.begin(), request.m_workers.end());
+  const auto workers = NextToAdvise(state, need);
+  if (workers.empty()) return valid;
+  for (const auto* const worker : workers) {
+    request.m_workers.push_back(worker->m_id);
+    step.m_advised[worker->m_id] = worker->m_born;
+    // A ticket that is left is for a former life of the worker.
+    step.m_tickets.erase(worker->m_id);
+  }
   step.m_advice_asked = true;
   step.m_advice_asked_at = now;
   state.m_advice_requests.push_back(std::move(request));
@@ -348,7 +352,7 @@
   found.m_advice_asked = false;
   // Tickets of an earlier answer expire first, and all tickets are renewed at that time.
   found.m_advice_until = found.m_tickets.empty() ? until : std::min(found.m_advice_until, until);
-  found.m_tickets.merge(tickets);
+  for (auto& [worker, ticket] : tickets) found.m_tickets[worker] = std::move(ticket);
 }
 
 void ComputeChains(Job& job) {
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -192,7 +192,17 @@
 bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept {
   if (!HasCapacity(need, agent)) return false;
   return !need.m_job.m_spec.m_policy.m_advised ||
-         need.m_step.m_tickets.count(agent.m_worker.m_id) > 0;
+         FindTicket(need.m_step, agent.m_worker) != nullptr;
+}
+
+bool IsAdvised(const StepState& step, const WorkerInfo& worker) noexcept {
+  const auto asked = step.m_advised.find(worker.m_id);
+  return asked != step.m_advised.end() && asked->second == worker.m_born;
+}
+
+const std::string* FindTicket(const StepState& step, const WorkerInfo& worker) noexcept {
+  const auto ticket = step.m_tickets.find(worker.m_id);
+  return ticket != step.m_tickets.end() && IsAdvised(step, worker) ? &ticket->second : nullptr;
 }
 
 namespace {
