Keep room for a stopped run until its agent has taken the orders

Workers that do not guard their capacity got starts beyond it.

Cause: when another run of a task is done, the current one is stopped and counts as stray until the agent's next report, which lists it while it is there. A report that the agent had made before the start order arrived lists nothing, so the room was given away while the run was about to start.

Change: such a run counts until a report that was made after the agent had taken the orders about it.

The new test fails without the change: the report leaves no stray run.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -243,6 +243,15 @@
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
 
+/// Run that an agent lists, or is about to list, and that no task refers to. It takes up room.
+struct StrayRun {
+  TaskRef m_task;
+  /// Order after which the agent's reports show whether the run is there; zero: the last one did.
+  std::uint64_t m_order = 0;
+
+  friend bool operator==(const StrayRun&, const StrayRun&) = default;
+};
+
 struct Agent {
   AgentId m_id;
   std::string m_rpc_address;
@@ -267,8 +276,7 @@
   /// Part of `m_filling_cpu_millis` that was unused at the last report, because the tasks are
   /// throttled or wait for I/O.
   std::int64_t m_filling_idle_millis = 0;
-  /// Stray runs: the agent lists them, but no task refers to them. They take up room.
-  std::vector<TaskRef> m_strays;
+  std::vector<StrayRun> m_strays;
   std::size_t m_serving = 0;  ///< Number of serving tasks placed there.
   std::int64_t m_serving_cpu_millis = 0;
   std::size_t m_suspects = 0;         ///< Number of placed runs of suspects.
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "coordinator_internal.h"
@@ -250,7 +251,7 @@
 }
 
 void StopStrayRun(Coordinator& state, Agent& agent, const RunStatus& run, std::string reason) {
-  AddStray(state, agent, run.m_task);
+  AddStray(state, agent, run.m_task, 0);
   const bool ordered =
       std::any_of(agent.m_orders.begin(), agent.m_orders.end(), [&](const Order& order) {
         return order.m_kind == OrderKind::kStop && order.m_start.m_task == run.m_task &&
@@ -264,16 +265,22 @@
   LogDecision(state, "stray run stopped", run.m_task, run.m_run, agent.m_id, std::move(reason));
 }
 
-void AddStray(Coordinator& state, Agent& agent, const TaskRef& ref) {
-  agent.m_strays.push_back(ref);
+void AddStray(Coordinator& state, Agent& agent, const TaskRef& ref, const std::uint64_t order) {
+  agent.m_strays.push_back({.m_task = ref, .m_order = order});
   ++state.m_strays[ref];
 }
 
-void DropStrays(Coordinator& state, Agent& agent) {
-  for (const auto& ref : std::exchange(agent.m_strays, {})) {
-    const auto found = state.m_strays.find(ref);
+void DropStrays(Coordinator& state, Agent& agent, const std::uint64_t last_order) {
+  std::erase_if(agent.m_strays, [&](const StrayRun& run) {
+    if (run.m_order > last_order) return false;
+    const auto found = state.m_strays.find(run.m_task);
     if (--found->second == 0) state.m_strays.erase(found);
-  }
+    return true;
+  });
+}
+
+void DropStrays(Coordinator& state, Agent& agent) {
+  DropStrays(state, agent, std::numeric_limits<std::uint64_t>::max());
 }
 
 AgentReportReply OnReport(Coordinator& state, const Time now, const AgentReport& report) {
@@ -311,11 +318,14 @@
       state.m_unwritten_members.insert(agent.m_id);
     }
   }
-  if (new_session) BeginSession(state, agent);
+  if (new_session) {
+    BeginSession(state, agent);
+    DropStrays(state, agent);
+  }
   OpenReported(state, report);
   OnEnds(state, now, agent, report);
   OnCrashes(state, agent, report);
-  DropStrays(state, agent);
+  DropStrays(state, agent, report.m_last_order);
   for (const auto& run : report.m_runs) OnRun(state, now, agent, run);
   if (report.m_ends_complete) EndMissing(state, now, agent, report, new_session);
   agent.m_filling_idle_millis = IdleFillingCpu(state, now, agent, report);
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -29,10 +29,14 @@
 /// Adds an order to stop the task's current run unless one was given.
 void OrderStop(Coordinator& state, const TaskRef& ref, Task& task, std::string reason);
 
-/// Counts a stray run at the agent until the agent's next report.
-void AddStray(Coordinator& state, Agent& agent, const TaskRef& ref);
+/// Counts a stray run at the agent until the agent's next report that was made after it had taken
+/// the order; zero: the next report.
+void AddStray(Coordinator& state, Agent& agent, const TaskRef& ref, std::uint64_t order);
 
-/// Removes the stray runs of the agent's previous report.
+/// Removes the stray runs about which a report with `last_order` tells.
+void DropStrays(Coordinator& state, Agent& agent, std::uint64_t last_order);
+
+/// Removes all stray runs of the agent.
 void DropStrays(Coordinator& state, Agent& agent);
 
 /// Counts a stray run and adds an order to stop it unless one is unconfirmed.
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -89,10 +89,11 @@
 /// Sets the task to done, and closes the occurrence and the job if that completes them.
 void Finish(Coordinator& state, Job& job, const TaskRef& ref, Task& task) {
   if (task.m_phase == TaskPhase::kPlaced) {
-    // Another run of the task succeeded. The current run takes up room until its agent no longer
-    // lists it.
+    // Another run of the task succeeded. The current run takes up room until its agent, once it has
+    // taken the orders about it, no longer lists it.
     OrderStop(state, ref, task, "another run of the task is done");
-    AddStray(state, state.m_agents.at(task.m_agent), ref);
+    Agent& agent = state.m_agents.at(task.m_agent);
+    AddStray(state, agent, ref, agent.m_next_order - 1);
     RemovePlacedRun(state, ref, task);
   }
   task.m_phase = TaskPhase::kDone;
--- a/packages/core/tests/fleet/stop_order_test.cc
+++ b/packages/core/tests/fleet/stop_order_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(ARunThatIsListedOnAfterItsStopWasTakenIsStoppedAgain);
   CPPUNIT_TEST(AStopIsNotRepeatedWhileItIsCarriedOut);
   CPPUNIT_TEST(OrdersThatAReportingAgentDoesNotTakeAreLoggedOnce);
+  CPPUNIT_TEST(ARunThatIsStoppedTakesUpRoomUntilItsAgentHasTakenTheOrders);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -153,6 +154,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logged);
   }
 
+  /// Guards against starts beyond a worker's capacity, beside a run that is stopped because another
+  /// run of its task is done: a report that was made before its start order arrived does not list
+  /// it.
+  void ARunThatIsStoppedTakesUpRoomUntilItsAgentHasTakenTheOrders() {
+    Site site;
+    site.Join("a");
+    site.Join("b");
+    site.Accept(MakeJob("j"));
+    const auto first = site.Starts().at(0);
+    (void)OnReport(site.m_state, site.m_now, site.Report(first.first));  // Lists nothing.
+    site.Advance(1s);
+    const auto second = site.Starts().at(0);
+    const auto other = second.first == "a" ? "b" : "a";
+    auto early = site.Report(second.first);
+    early.m_last_order = 0;
+    (void)site.End(other, 1, Ref("j"), first.second.m_run, RunOutcome::kDone);
+    const auto& agent = site.m_state.m_agents.at({second.first});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.m_strays.size());
+    early.m_number = site.Report(second.first).m_number;
+    (void)OnReport(site.m_state, site.m_now, early);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.m_strays.size());
+
+    (void)OnReport(site.m_state, site.m_now, site.Report(second.first));
+    CPPUNIT_ASSERT(agent.m_strays.empty());
+  }
+
   /// Guards against an order with each report while a stop is carried out.
   void AStopIsNotRepeatedWhileItIsCarriedOut() {
     Site site = CancelRunningJob();
