--- a/packages/platform/tests/http_caller_test.cc
+++ b/packages/platform/tests/http_caller_test.cc
@@ -125,7 +125,7 @@
 
 web::http::http_request Post(const std::string& body) {
   web::http::http_request request(web::http::methods::POST);
-  request.set_request_uri("/run-start");
+  request.set_request_uri("/work");
   SetSingleUseBody(request, body);
   return request;
 }
