Keep a using directive out of a test header

The fixture of the agent's tests imported the literals of std::chrono into the namespace of every file that includes it.

--- a/packages/core/tests/fleet/agent_fixture.h
+++ b/packages/core/tests/fleet/agent_fixture.h
@@ -3,21 +3,20 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <chrono>
 #include <vector>
 
 #include "ebonypin/core/fleet/worker_agent.h"
 
 namespace ebonypin::core::fleet {
 
-using namespace std::chrono_literals;
-
 inline const TaskRef kTask{.m_job = {"j"}};
 
 /// Agent with a grant of five seconds, whose worker has listed no runs.
 class GrantedAgent {
  public:
   WorkerAgent m_agent{.m_id = {"a"}, .m_rpc_address = "a", .m_fence = 100};
-  Time m_now{1h};
+  Time m_now{std::chrono::hours{1}};
   WorkerInfo m_worker{.m_id = {"w"},
                       .m_born = 1000,
                       .m_service = {"desk"},
@@ -30,7 +29,7 @@
     OnHeartbeat(m_agent, m_now, m_worker, 1);
     Hold({});
     OnCoordinatorRead(m_agent, m_now, CoordinatorRecord{.m_epoch = 1, .m_rpc_address = "c"});
-    Grant(5s);
+    Grant(std::chrono::seconds{5});
   }
 
   void Grant(const Duration grant) {
@@ -41,11 +40,11 @@
   /// Makes a hold call whose answer lists `runs` and `ends`.
   HoldCall Hold(const std::vector<ListedRun>& runs, const std::vector<RunEnded>& ends = {},
                 const bool ends_complete = true) {
-    m_now += 100ms;
+    m_now += std::chrono::milliseconds{100};
     const auto sent = m_now;
     auto call = NextHold(m_agent, sent);
     CPPUNIT_ASSERT(call.has_value());
-    m_now += 1ms;
+    m_now += std::chrono::milliseconds{1};
     OnHold(m_agent, sent, m_now,
            HoldAnswer{.m_born = m_worker.m_born,
                       .m_clock_ms = 5000,
@@ -75,7 +74,7 @@
 
   /// Makes a hold call that the worker does not answer.
   void FallSilent() {
-    m_now += 50ms;
+    m_now += std::chrono::milliseconds{50};
     CPPUNIT_ASSERT(NextHold(m_agent, m_now).has_value());
     OnHold(m_agent, m_now, m_now, std::nullopt);
   }
--- a/packages/core/tests/fleet/stop_order_test.cc
+++ b/packages/core/tests/fleet/stop_order_test.cc
@@ -7,6 +7,8 @@
 namespace ebonypin::core::fleet {
 namespace {
 
+using namespace std::chrono_literals;
+
 /// Returns the stop calls that are due, and answers them.
 std::vector<RunNumber> AnswerStops(GrantedAgent& fixture, const RunAnswer answer) {
   std::vector<RunNumber> stops;
