Review: tasks wait after a crash, and jobs that have not begun are not pending

Cause: suspects of a crash are started one a worker at a time (case 8); a run that an agent only tries to start marks its job as begun (case 9).

--- a/review/play-2/site.h
+++ b/review/play-2/site.h
@@ -80,6 +80,7 @@
   int m_entries = 3;
   int m_workers = 5;
   std::string m_service = "order-desk";
+  std::string m_first_kind = "a";  // Kind of the first worker; the others are of kind a.
   std::string m_routes;  // JSON; empty: one queue at /proof/ and one at /sync/.
   bool m_machines = true;
   std::int64_t m_hold_max_ms = 6000;
@@ -131,7 +132,7 @@
       options.m_id = "w-" + std::to_string(i + 1);
       options.m_service = m_options.m_service;
       options.m_zone = kZones[i % 3];
-      options.m_labels = {"a", "r1-" + std::to_string(i / 3 + 1)};
+      options.m_labels = {i == 0 ? m_options.m_first_kind : "a", "r1-" + std::to_string(i / 3 + 1)};
       options.m_longest_lease = Ms{m_options.m_hold_max_ms};
       options.m_app = {SideIp(i), m_app_port};
       options.m_control = {SideIp(i), m_port + 2};
@@ -267,20 +268,44 @@
     const std::string program = m_root + "/target/bin/ebonypind";
     const std::string settings = "--settings=" + machine.m_settings;
     const std::string drain = machine.m_entry ? "--drain_seconds=5" : "--drain_seconds=1";
-    const pid_t parent = getpid();
-    const pid_t pid = fork();
-    if (pid == 0) {
+    machine.m_pid = Spawn(program, settings, drain, machine.m_log);
+    m_record.Line("started " + machine.m_node);
+  }
+
+  /// Starts a program on a thread that lives as long as this process: a child ends with the thread
+  /// that has started it.
+  pid_t Spawn(const std::string& program, const std::string& settings, const std::string& drain,
+              const std::string& log_path) {
+    std::unique_lock lock(m_spawner.m_mutex);
+    m_spawner.m_job = [&] {
+      const pid_t parent = getpid();
+      const pid_t pid = fork();
+      if (pid != 0) return pid;
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (getppid() != parent) _exit(9);
-      const int log = open(machine.m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(log, 1);
       dup2(log, 2);
       if (chdir(m_root.c_str()) != 0) _exit(9);
       execl(program.c_str(), program.c_str(), settings.c_str(), drain.c_str(), nullptr);
       _exit(9);
+    };
+    m_spawner.m_pid = 0;
+    if (!m_spawner.m_runs) {
+      m_spawner.m_runs = true;
+      std::thread([&spawner = m_spawner] {
+        std::unique_lock guard(spawner.m_mutex);
+        for (;;) {
+          spawner.m_changed.wait(guard, [&spawner] { return spawner.m_job != nullptr; });
+          spawner.m_pid = spawner.m_job();
+          spawner.m_job = nullptr;
+          spawner.m_changed.notify_all();
+        }
+      }).detach();
     }
-    machine.m_pid = pid;
-    m_record.Line("started " + machine.m_node);
+    m_spawner.m_changed.notify_all();
+    m_spawner.m_changed.wait(lock, [this] { return m_spawner.m_job == nullptr; });
+    return m_spawner.m_pid;
   }
 
   /// Returns whether the process has ended by itself.
@@ -372,6 +397,14 @@
   std::vector<std::unique_ptr<Worker>> m_workers;
   std::mutex m_events_mutex;
   std::vector<RunEvent> m_events;
+  struct Spawner {
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::function<pid_t()> m_job;
+    bool m_runs = false;
+    pid_t m_pid = 0;
+  };
+  Spawner& m_spawner = *new Spawner;  // Never destroyed: its thread waits until the end.
 };
 
 /// Runs a case: 0 when the rule held, 1 when it was broken, 2 when the case could not run.
--- a/review/play-2/store.h
+++ b/review/play-2/store.h
@@ -2,6 +2,7 @@
 // sequence numbers, reads that wait, keyed topics, groups, and the limits of records and calls.
 #pragma once
 #include <deque>
+#include <random>
 
 #include "http.h"
 #include "json.h"
@@ -92,6 +93,29 @@
       if (answer) return answer;
     }
     std::this_thread::sleep_for(Ms{2});
+    const bool writes = request.m_path == "/log-append" || request.m_path == "/log-join" ||
+                        request.m_path == "/log-leave";
+    if (writes && m_lost_share > 0.0 && Draw() < m_lost_share) {
+      // Done now, or seconds later if its condition still holds, and not answered.
+      if (m_lost_late) {
+        std::thread([this, request, wait = Ms{1000 + static_cast<int>(Draw() * 5000)}] {
+          std::this_thread::sleep_for(wait);
+          (void)Do(request);
+        }).detach();
+      } else {
+        (void)Do(request);
+      }
+      return std::nullopt;
+    }
+    return Do(request);
+  }
+
+  double Draw() {
+    const std::lock_guard lock(m_draw_mutex);
+    return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+  }
+
+  std::optional<Response> Do(const Request& request) {
     auto query = request.Query();
     const auto number = [&](const std::string& name) {
       return query.count(name) > 0 ? std::strtoll(query[name].c_str(), nullptr, 10) : 0;
@@ -281,8 +305,12 @@
 
  public:
   StoreLimits m_limits;
+  std::atomic<double> m_lost_share{0.0};  ///< Share of the writes that get no answer.
+  std::atomic<bool> m_lost_late{false};
 
  private:
+  std::mutex m_draw_mutex;
+  std::mt19937 m_random{17};
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::map<std::string, Topic> m_topics;
--- a/review/play-2/worker.h
+++ b/review/play-2/worker.h
@@ -39,6 +39,7 @@
   Address m_control;
 };
 
+
 class Worker {
  public:
   Worker(WorkerOptions options, std::function<void(const RunEvent&)> record)
@@ -48,6 +49,13 @@
   /// Is asked for each order (start, stop, hold, pace): a positive time leaves it unanswered and
   /// carries it out that much later; a negative one drops it.
   std::function<Ms(const std::string& path, const Json& body)> m_late;
+  /// Answers a call in the worker's place, which then does nothing.
+  std::function<std::optional<Response>(const std::string& path)> m_refuse;
+  /// Is told each start order that is carried out.
+  std::function<void(const Json& body)> m_on_start;
+  bool m_saves = false;            ///< Runs save their progress each second and when they are stopped.
+  std::atomic<bool> m_cut{false};  ///< Nothing gets through, either way; the worker runs on.
+  double m_rate = 1.0;             ///< Of the worker's clock.
 
   void Begin() {
     {
@@ -78,6 +86,13 @@
     m_server = nullptr;
   }
 
+  /// Ends a run from outside, as the platform does with the members of a gang.
+  void EndTask(const std::string& task, std::int64_t run, const std::string& how) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runs.find(task);
+    if (m_up && found != m_runs.end() && found->second.m_run == run) EndRun(task, how);
+  }
+
   void SetDraining(bool draining) {
     const std::lock_guard lock(m_mutex);
     m_draining = draining;
@@ -108,12 +123,14 @@
     std::int64_t m_run = 0;
     Clock::time_point m_started;
     Plan m_plan;
+    std::string m_saved;
   };
   struct End {
     std::int64_t m_number = 0;
     std::string m_task;
     std::int64_t m_run = 0;
     std::string m_how;
+    std::string m_saved;
     bool m_lapsed_since = false;
   };
 
@@ -130,7 +147,8 @@
   }
 
   std::int64_t NowMs() const {
-    return std::chrono::duration_cast<Ms>(Clock::now() - m_born_at).count();
+    const auto since = std::chrono::duration_cast<Ms>(Clock::now() - m_born_at).count();
+    return static_cast<std::int64_t>(static_cast<double>(since) * m_rate);
   }
 
   void Note(const std::string& what, const std::string& task, std::int64_t run,
@@ -141,9 +159,10 @@
   void EndRun(const std::string& task, const std::string& how) {
     const auto found = m_runs.find(task);
     const auto run = found->second.m_run;
+    const std::string saved = m_saves && how != "done" ? Saved(task, found->second) : "";
     m_runs.erase(found);
     m_closed[task] = std::max(m_closed[task], run);
-    m_ends.push_back({m_next_end++, task, run, how});
+    m_ends.push_back({m_next_end++, task, run, how, saved});
     Note("end", task, run, how);
     m_changed.notify_all();
   }
@@ -173,10 +192,14 @@
 
   std::optional<Response> Serve(const Request& request) {
     const Json body = Json::Parse(request.m_body);
+    if (m_cut) return std::nullopt;
     const auto expected = request.m_headers.find("ebonypin-expect-instance");
     if (expected != request.m_headers.end() && expected->second != m_options.m_id) {
       return Response{421, "{}"};
     }
+    if (m_refuse) {
+      if (auto refusal = m_refuse(request.m_path)) return refusal;
+    }
     if (m_late) {
       const Ms late = m_late(request.m_path, body);
       if (late < Ms{0}) return std::nullopt;
@@ -221,7 +244,9 @@
       }
       Extend(deadline);
       if (there != m_runs.end() || run <= m_closed[task]) return refuse("old");
-      m_runs[task] = {run, Clock::now(), m_plan ? m_plan(task, run, body.Text("Spec")) : Plan{}};
+      m_runs[task] = {run, Clock::now(), m_plan ? m_plan(task, run, body.Text("Spec")) : Plan{},
+                      body.Text("Checkpointed")};
+      if (m_on_start) m_on_start(body);
       Note("start", task, run, late ? "late" : "");
       m_changed.notify_all();
       return {200, Stamp().Write()};
@@ -253,7 +278,7 @@
       running.Add(Json::List()
                       .Add(name)
                       .Add(entry.m_run)
-                      .Add("")
+                      .Add(m_saves ? Saved(name, entry) : "")
                       .Add(Percent(entry))
                       .Add(entry.m_plan.m_length == Ms{0} ? 5 : 100));
     }
@@ -261,11 +286,19 @@
     for (const auto& end : m_ends) {
       if (ended.m_list.size() == 500) break;
       ended.Add(Json::List().Add(end.m_number).Add(end.m_task).Add(end.m_run).Add(end.m_how).Add(
-          ""));
+          end.m_saved));
     }
     return {200, Stamp().Set("Running", running).Set("Ended", ended).Write()};
   }
 
+  /// The newest progress of a run; what it resumed from if it has saved none.
+  static std::string Saved(const std::string& task, const Run& run) {
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - run.m_started).count();
+    if (seconds < 1) return run.m_saved;
+    return task + "|" + std::to_string(run.m_run) + "|" + std::to_string(seconds);
+  }
+
   static int Percent(const Run& run) {
     const auto at = std::chrono::duration_cast<Ms>(Clock::now() - run.m_started).count();
     if (run.m_plan.m_length == Ms{0}) return at > 200 ? 100 : 50;
@@ -305,7 +338,7 @@
           body = beat.Write();
         }
       }
-      if (!body.empty()) {
+      if (!body.empty() && !m_cut) {
         (void)Call(m_options.m_control, "POST", "/instances/" + m_options.m_id + "/heartbeat", body,
                    Ms{1000});
       }
