--- a/review/play-2/worker.h
+++ b/review/play-2/worker.h
@@ -49,6 +49,8 @@
   /// Is asked for each order (start, stop, hold, pace): a positive time leaves it unanswered and
   /// carries it out that much later; a negative one drops it.
   std::function<Ms(const std::string& path, const Json& body)> m_late;
+  /// The fifth entry of a row of Running, by the run's Spec.
+  std::function<int(const std::string& spec)> m_figure;
   /// Answers a call in the worker's place, which then does nothing.
   std::function<std::optional<Response>(const std::string& path)> m_refuse;
   /// Is told each start order that is carried out.
@@ -124,6 +126,7 @@
     Clock::time_point m_started;
     Plan m_plan;
     std::string m_saved;
+    std::string m_spec;
   };
   struct End {
     std::int64_t m_number = 0;
@@ -245,7 +248,7 @@
       Extend(deadline);
       if (there != m_runs.end() || run <= m_closed[task]) return refuse("old");
       m_runs[task] = {run, Clock::now(), m_plan ? m_plan(task, run, body.Text("Spec")) : Plan{},
-                      body.Text("Checkpointed")};
+                      body.Text("Checkpointed"), body.Text("Spec")};
       if (m_on_start) m_on_start(body);
       Note("start", task, run, late ? "late" : "");
       m_changed.notify_all();
@@ -280,7 +283,9 @@
                       .Add(entry.m_run)
                       .Add(m_saves ? Saved(name, entry) : "")
                       .Add(Percent(entry))
-                      .Add(entry.m_plan.m_length == Ms{0} ? 5 : 100));
+                      .Add(m_figure                        ? m_figure(entry.m_spec)
+                           : entry.m_plan.m_length == Ms{0} ? 5
+                                                            : 100));
     }
     Json ended = Json::List();
     for (const auto& end : m_ends) {
