--- a/review/play-2/worker.h
+++ b/review/play-2/worker.h
@@ -10,7 +10,8 @@
       .count();
 }
 
-/// What a run does: it ends after `m_length` as `m_how`. Zero length: it goes on until it is stopped.
+/// What a run does: it ends after `m_length` as `m_how`, after 1 ms at once. Zero length: it goes on
+/// until it is stopped.
 struct Plan {
   Ms m_length{0};
   std::string m_how = "done";
@@ -252,6 +253,7 @@
       if (m_on_start) m_on_start(body);
       Note("start", task, run, late ? "late" : "");
       m_changed.notify_all();
+      if (m_runs[task].m_plan.m_length == Ms{1}) EndRun(task, m_runs[task].m_plan.m_how);
       return {200, Stamp().Write()};
     }
     if (path == "/run-stop") {
