Review: a burst on a queue with advice ends in jobs that never start

Cause: advice is taken for expired half of its validity after the question, and steps ask again behind each other.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,6 +4,6 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program=$root/target/review-2/large_tasks
+program=$root/target/review-2/advice_queue
 [ -x "$program" ] && [ -x "$root/target/bin/ebonypind" ] || { echo "build the deployment and review/build-2.sh first" >&2; exit 2; }
 exec "$program" "$root" "$here"
--- a/review/play-2/site.h
+++ b/review/play-2/site.h
@@ -82,6 +82,7 @@
   std::string m_service = "order-desk";
   std::string m_first_kind = "a";  // Kind of the first worker; the others are of kind a.
   std::string m_routes;  // JSON; empty: one queue at /proof/ and one at /sync/.
+  bool m_advice = false;  // The site has an advice service.
   bool m_machines = true;
   std::int64_t m_hold_max_ms = 6000;
 };
@@ -259,6 +260,7 @@
         {"platform.TtlMinMs", "1000"},
         {"Bounds.HoldMaxMs", std::to_string(m_options.m_hold_max_ms)},
         {"app", machine.m_ip + ":" + std::to_string(m_app_port)}};
+    if (m_options.m_advice) fields["Advice"] = AdviceAddress().Text();
     if (m_options.m_machines) fields["Cloud.Addr"] = m_cloud_address.Text();
     machine.m_settings = m_folder + "/" + machine.m_node + ".ini";
     machine.m_log = m_folder + "/" + machine.m_node + ".log";
@@ -328,6 +330,7 @@
   std::set<std::string> m_down;
   std::mutex m_down_mutex;
 
+  Address AdviceAddress() const { return {m_cloud_address.m_ip, m_port + 9}; }
   std::string EntryIp(int i) const { return m_net + std::to_string(10 + i); }
   std::string SideIp(int i) const { return m_net + std::to_string(40 + i); }
   int Port() const { return m_port; }
--- a/review/play-2/worker.h
+++ b/review/play-2/worker.h
@@ -52,6 +52,8 @@
   std::function<Ms(const std::string& path, const Json& body)> m_late;
   /// The fifth entry of a row of Running, by the run's Spec.
   std::function<int(const std::string& spec)> m_figure;
+  /// Returns whether the ticket of a start is valid; every ticket is when it is not set.
+  std::function<bool(const std::string& task, const std::string& ticket)> m_is_valid;
   /// Answers a call in the worker's place, which then does nothing.
   std::function<std::optional<Response>(const std::string& path)> m_refuse;
   /// Is told each start order that is carried out.
@@ -248,6 +250,7 @@
       }
       Extend(deadline);
       if (there != m_runs.end() || run <= m_closed[task]) return refuse("old");
+      if (m_is_valid && !m_is_valid(task, body.Text("Ticket"))) return refuse("ticket");
       m_runs[task] = {run, Clock::now(), m_plan ? m_plan(task, run, body.Text("Spec")) : Plan{},
                       body.Text("Checkpointed"), body.Text("Spec")};
       if (m_on_start) m_on_start(body);
