--- a/review/play-2/site.h
+++ b/review/play-2/site.h
@@ -6,6 +6,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -94,9 +95,7 @@
         m_options(std::move(options)),
         m_record(folder + "/record.txt") {
     signal(SIGPIPE, SIG_IGN);
-    char name[] = "/var/tmp/ebonypin-review-XXXXXX";
-    const char* const base = std::getenv("TMPDIR");
-    std::string pattern = base != nullptr ? std::string(base) + "/ebonypin-review-XXXXXX" : name;
+    std::string pattern = std::filesystem::temp_directory_path().string() + "/ebonypin-review-XXXXXX";
     if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
     m_folder = pattern;
     ChoosePorts();
