Review: the burst of case 6 takes four seconds

Cause: with the time of the calls the 64 jobs came in 4.5 s, longer than the 4 s of the site's bursts. Done: they come at set times.

--- a/review/play-2/advice_queue.cc
+++ b/review/play-2/advice_queue.cc
@@ -80,6 +80,7 @@
     site.WaitUntilServes();
     std::this_thread::sleep_for(Ms{1000});
     std::vector<std::string> ids;
+    const auto first = Clock::now();
     for (int i = 0; i < kJobs; ++i) {
       ids.push_back(site.NewId());
       if (site.Submit(i % 3, "/advised/", ids.back(),
@@ -87,7 +88,7 @@
                       "plate") != 200) {
         throw std::runtime_error("a job was not accepted");
       }
-      std::this_thread::sleep_for(trouble ? kBurst : kUsual);
+      std::this_thread::sleep_until(first + (i + 1) * (trouble ? kBurst : kUsual));
     }
     // finish_s, 3 s with nothing running, and 8 s more.
     std::this_thread::sleep_for(std::chrono::seconds{trouble ? 25 : 5});
