Log the answers of the advice service

The log had a line for a call to the advice service that failed, and none for an answer.

E628 names the step, the workers asked about, how many of them may run it, how long the answer took, and for how long its tickets are used from then on.

--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -102,6 +102,7 @@
 inline const Event kWorkerShares = DefineEvent(625, EventLevel::kInfo, "worker shares");
 inline const Event kWorkerCrashed = DefineEvent(626, EventLevel::kWarn, "worker crashed");
 inline const Event kCoordinatorAwaited = DefineEvent(627, EventLevel::kInfo, "coordinator record awaited");
+inline const Event kAdviceReceived = DefineEvent(628, EventLevel::kInfo, "advice received");
 inline const Event kEvacuationBegan = DefineEvent(630, EventLevel::kInfo, "evacuation of a failure domain began");
 inline const Event kEvacuationEnded = DefineEvent(631, EventLevel::kInfo, "evacuation of a failure domain ended");
 inline const Event kEvacuationRefused = DefineEvent(632, EventLevel::kWarn, "evacuation record refused");
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -166,24 +166,36 @@
 void CoordinatorService::RequestAdvice() {
   for (auto& request : std::exchange(m_state.m_advice_requests, {})) {
     if (m_advice == nullptr) continue;
-    const auto asked = BootNow();
-    m_advice->Ask(request, [this, events = m_events, asked,
-                            step = request.m_step](core::Captured<platform::Advice> advice) {
-      events->Post([this, asked, step, advice = std::move(advice)] {
-        if (!advice.Ok()) {
-          LogEvent(kAdviceFailed,
-                   {{"step", TaskText(step)}, {"reason", advice.m_error->m_message}});
-          return;
-        }
-        // The advice is used for half of its validity, counted from the request, so that a start
-        // is carried out while the ticket is still valid.
-        OnAdvice(m_state, step, advice.m_value->m_tickets, asked + advice.m_value->m_valid / 2);
-        ScheduleCycle();
+    m_advice->Ask(request, [this, events = m_events, request,
+                            sent = BootNow()](core::Captured<platform::Advice> advice) {
+      events->Post([this, request, sent, advice = std::move(advice)] {
+        OnAdviceAnswer(request, sent, advice);
       });
     });
   }
 }
 
+void CoordinatorService::OnAdviceAnswer(const core::fleet::AdviceRequest& request,
+                                        const core::Time sent,
+                                        const core::Captured<platform::Advice>& advice) {
+  if (!advice.Ok()) {
+    LogEvent(kAdviceFailed,
+             {{"step", TaskText(request.m_step)}, {"reason", advice.m_error->m_message}});
+    return;
+  }
+  // The advice is used for half of its validity, counted from the request, so that a start is
+  // carried out while the ticket is still valid.
+  const auto until = sent + advice.m_value->m_valid / 2;
+  const auto now = BootNow();
+  LogEvent(kAdviceReceived, {{"step", TaskText(request.m_step)},
+                             {"workers", request.m_workers.size()},
+                             {"good", advice.m_value->m_tickets.size()},
+                             {"waited_ms", (now - sent).count() / 1000},
+                             {"usable_ms", (until - now).count() / 1000}});
+  OnAdvice(m_state, request.m_step, advice.m_value->m_tickets, until);
+  ScheduleCycle();
+}
+
 void CoordinatorService::LogDecisions() {
   for (const auto& decision : std::exchange(m_state.m_decisions, {})) {
     LogEvent(decision.m_failure ? kRunFailure : kRunDecision, {{"what", decision.m_what},
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -176,6 +176,8 @@
   void RunCycle();
   void SendOrders(core::fleet::Agent& agent);
   void RequestAdvice();
+  void OnAdviceAnswer(const core::fleet::AdviceRequest& request, core::Time sent,
+                      const core::Captured<platform::Advice>& advice);
   void Flush();
   void SendAppend(const core::fleet::OpenAppend& append);
   void OnAppended(std::uint64_t sequence, const platform::AppendReply& reply);
