Ask the advice service about few steps at a time, most urgent first

Cause: each ready step was asked about at once, up to 16 calls were open, and an answer was used only until half of its validity after the sending of the call. The service handles one call at a time. With ten calls in its queue each answer came after that time, its tickets were dropped, and the step was asked about again behind the others. Calls refused because all connections were in use counted as made, so their steps waited 1.5 s blindly.

Change: steps wait at the coordinator. At most two calls are open, one while calls fail; when one ends, the next is about the most urgent step that could start now (advice_calls.h, coordinator_advice.cc). The deadline of a call counts from its sending and covers the open calls at the speed that the queue's configuration gives. Tickets are used for half of their validity from the answer. Which workers may run a step is kept when tickets expire, and steps without room are asked about only while nothing else is. This works because nothing that the service was asked for is thrown away, and no timer of a step runs while it waits for its turn.

Tests: AdviceBurstTest (virtual time) and FleetAdviceTest (real client, stand-in of the service).

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/core/fleet/advice_calls.h"
 #include "ebonypin/core/fleet/filling_room.h"
 #include "ebonypin/core/fleet/image_pairs.h"
 #include "ebonypin/core/fleet/messages.h"
@@ -130,8 +131,6 @@
   /// Least time between two lists of workers that show a worker as ended. The list may lag behind a
   /// worker that has just started.
   Duration m_unlisted_time = std::chrono::milliseconds{1000};
-  /// Time after which an advice request without an answer is repeated.
-  Duration m_advice_retry = std::chrono::milliseconds{1500};
   WorkerHealthOptions m_health;
   PacingOptions m_pacing;  ///< Must be the same as the agents use.
 };
@@ -175,6 +174,16 @@
   std::vector<AgentId> m_failed_on;
 };
 
+/// What the advice service has said about a worker.
+struct WorkerAdvice {
+  std::int64_t m_born = 0;  ///< Start of the life (`WorkerInfo::m_born`) that it is about.
+  bool m_allowed = false;   ///< The worker may run the step, which holds for its whole life.
+  std::string m_ticket;
+  Time m_until;  ///< Starts carry the ticket before this time.
+
+  friend bool operator==(const WorkerAdvice&, const WorkerAdvice&) = default;
+};
+
 struct StepState {
   std::vector<Task> m_tasks;
   std::uint32_t m_left = 0;  ///< Tasks that are not done.
@@ -183,14 +192,9 @@
   Time m_blocked_until;      ///< No worker was found for a filling task: the search is not repeated
                              ///< before this time unless a worker is added.
   std::uint64_t m_blocked_at = 0;  ///< Value of `m_workers_added` when the search failed.
-  // State of the platform's advice on the workers that may run the step.
-  bool m_advice_asked = false;
-  Time m_advice_asked_at;
-  Time m_advice_until;  ///< End of the tickets' validity.
-  std::map<WorkerId, std::string> m_tickets;
-  /// Workers that were asked about since the last tickets expired, each with the start of the life
-  /// (`WorkerInfo::m_born`) that its ticket is for.
-  std::map<WorkerId, std::int64_t> m_advised;
+  std::map<WorkerId, WorkerAdvice> m_advice;
+  bool m_advice_asked = false;          ///< A call about the step is open.
+  std::uint32_t m_advice_failures = 0;  ///< Calls about the step that failed since the last answer.
 };
 
 struct Occurrence {
@@ -307,12 +311,6 @@
   friend bool operator==(const SilentMember&, const SilentMember&) = default;
 };
 
-/// Request to the advice service on the workers that may run a step.
-struct AdviceRequest {
-  TaskRef m_step;  ///< The index is not used.
-  std::vector<WorkerId> m_workers;
-};
-
 /// Records of one append, and the state changes that take effect once they are in the store.
 struct WriteBatch {
   std::vector<RecordChange> m_records;
@@ -352,6 +350,8 @@
   std::uint64_t m_lost = 0;  ///< Runs that ended without a result of their own.
   std::uint64_t m_jobs_done = 0;
   std::uint64_t m_jobs_late = 0;  ///< Jobs among `m_jobs_done` that missed their objective.
+  std::uint64_t m_advice_answers = 0;
+  std::uint64_t m_advice_failures = 0;
 };
 
 struct Coordinator {
@@ -378,7 +378,9 @@
   std::set<AgentId> m_unwritten_members;
   std::uint64_t m_record_requests = 0;  ///< Number of requests to write a member record.
   std::vector<std::string> m_removed_keys;
-  std::vector<AdviceRequest> m_advice_requests;
+  AdviceCalls m_advice_calls;
+  std::vector<AdviceRequest> m_advice_requests;  ///< To be sent by the caller.
+  std::size_t m_unadvised_steps = 0;  ///< Ready steps without a valid ticket at the last plan.
   std::vector<Decision> m_decisions;  ///< Not yet logged by the caller.
   CoordinatorCounters m_counters;
   ImagePairs m_pairs;
@@ -417,10 +419,12 @@
 void OnOrdersTaken(Coordinator& state, const AgentId& agent, std::uint64_t session,
                    std::uint64_t last_order);
 
-/// Handles an answer of the advice service: tickets by worker, valid until `until`. Adds them to
-/// the tickets that are still valid.
-void OnAdvice(Coordinator& state, const TaskRef& step, std::map<WorkerId, std::string> tickets,
-              Time until);
+/// Handles the answer to a call to the advice service: tickets by worker, issued for `valid`.
+void OnAdvice(Coordinator& state, Time now, std::uint64_t number,
+              const std::map<WorkerId, std::string>& tickets, Duration valid);
+
+/// Handles a call to the advice service that was refused or not answered in time.
+void OnAdviceFailed(Coordinator& state, Time now, std::uint64_t number);
 
 /// Sets the failure domains in which nothing is started. Starts there that no agent has taken yet
 /// are withdrawn; runs that have started go on.
--- a/packages/core/include/ebonypin/core/fleet/job.h
+++ b/packages/core/include/ebonypin/core/fleet/job.h
@@ -56,6 +56,9 @@
   double m_stretch = 1.0;        ///< Objective relative to the time of the longest chain of steps.
   Duration m_objective{};        ///< Added to the stretched time of the chain.
   bool m_advised = false;        ///< Starts need a ticket of the advice service.
+  /// Time that the advice service needs for a call, and for each worker that the call names.
+  Duration m_advice_call_time{};
+  Duration m_advice_worker_time{};
 
   friend bool operator==(const QueuePolicy&, const QueuePolicy&) = default;
 };
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -15,6 +15,13 @@
 
 namespace ebonypin::core::fleet {
 
+/// Which workers may be chosen for a task whose starts need a ticket of the advice service.
+enum class TicketUse : std::uint8_t {
+  kValid,     ///< Those with a valid ticket.
+  kAllowed,   ///< Those that may run the step, also when the ticket has expired.
+  kPossible,  ///< Those, and the ones on which there is no advice.
+};
+
 /// Task to place, with the state that the choice depends on.
 struct TaskNeed {
   const Coordinator& m_state;
@@ -23,6 +30,7 @@
   const StepState& m_step;
   TaskRef m_ref;
   const Task& m_task;
+  TicketUse m_tickets = TicketUse::kValid;
 };
 
 /// Returns `cpu_millis` as a share of the worker's processors.
@@ -43,15 +51,19 @@
 /// Returns whether the worker has room for the task now, without regard to advice.
 [[nodiscard]] bool HasCapacity(const TaskNeed& need, const Agent& agent) noexcept;
 
-/// Returns whether advice on this life of the worker was asked for, or is known.
-[[nodiscard]] bool IsAdvised(const StepState& step, const WorkerInfo& worker) noexcept;
+/// Returns the advice on this life of the worker, or null.
+[[nodiscard]] const WorkerAdvice* FindAdvice(const StepState& step,
+                                             const WorkerInfo& worker) noexcept;
+
+/// Returns the ticket for starts on the worker now, or null.
+[[nodiscard]] const std::string* FindTicket(const StepState& step, const WorkerInfo& worker,
+                                            Time now) noexcept;
 
-/// Returns the step's ticket for this life of the worker, or null.
-[[nodiscard]] const std::string* FindTicket(const StepState& step,
-                                            const WorkerInfo& worker) noexcept;
+/// Returns whether the task needs no ticket, or the worker is one of `TaskNeed::m_tickets`.
+[[nodiscard]] bool IsAdvised(const TaskNeed& need, const Agent& agent, Time now) noexcept;
 
 /// Returns whether the worker may run the task now.
-[[nodiscard]] bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept;
+[[nodiscard]] bool HasRoom(const TaskNeed& need, const Agent& agent, Time now) noexcept;
 
 /// What a filling task would get and take on a worker in addition to the runs placed there.
 struct PlacementEstimate {
@@ -76,6 +88,7 @@
 struct PassedOver {
   std::size_t m_ineligible = 0;    ///< Not ready, of another service, or without the label.
   std::size_t m_full = 0;          ///< No room.
+  std::size_t m_unadvised = 0;     ///< No valid ticket of the advice service.
   std::size_t m_small_share = 0;   ///< Expected share of the filling task is too small.
   std::size_t m_on_probation = 0;  ///< Runs another task that may crash its workers.
 
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -2,9 +2,37 @@
 #pragma once
 
 #include "ebonypin/core/fleet/coordinator.h"
+#include "ebonypin/core/fleet/worker_choice.h"
 
 namespace ebonypin::core::fleet {
 
+/// Step with waiting tasks whose preceding steps are done.
+struct ReadyStep {
+  Job* m_job = nullptr;
+  std::uint32_t m_occurrence = 0;
+  std::uint32_t m_step = 0;
+  std::uint32_t m_priority = 0;
+  bool m_late = false;  ///< The job misses its objective in any case.
+  Time m_latest_start;  ///< Latest start that meets the objective.
+};
+
+/// Returns the state of the ready step.
+[[nodiscard]] StepState& StepOf(const ReadyStep& ready);
+
+[[nodiscard]] TaskNeed NeedOf(const Coordinator& state, const ReadyStep& ready, std::uint32_t index,
+                              TicketUse tickets);
+
+/// Returns whether tasks of the step could start now on workers with the given kind of ticket.
+[[nodiscard]] bool CouldStart(Coordinator& state, Time now, const ReadyStep& ready,
+                              TicketUse tickets);
+
+/// Returns whether the step needs no tickets or has one that is valid.
+[[nodiscard]] bool HasTicket(const ReadyStep& ready, Time now);
+
+/// Opens calls to the advice service about steps that wait for tickets, which come in the order in
+/// which they are to start.
+void RequestAdvice(Coordinator& state, Time now, const std::vector<ReadyStep>& ready);
+
 /// Returns the task, or null when its job, occurrence or step is not open.
 [[nodiscard]] Task* FindTask(Coordinator& state, const TaskRef& ref) noexcept;
 
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -2,21 +2,10 @@
 #include <utility>
 
 #include "coordinator_internal.h"
-#include "ebonypin/core/fleet/worker_choice.h"
 
 namespace ebonypin::core::fleet {
 namespace {
 
-/// Step with waiting tasks whose preceding steps are done.
-struct ReadyStep {
-  Job* m_job = nullptr;
-  std::uint32_t m_occurrence = 0;
-  std::uint32_t m_step = 0;
-  std::uint32_t m_priority = 0;
-  bool m_late = false;  ///< The job misses its objective in any case.
-  Time m_latest_start;  ///< Latest start that meets the objective.
-};
-
 /// Returns the estimated time of the longest chain of steps that starts with `first`.
 Duration ChainFrom(const JobSpec& spec, const std::uint32_t first) {
   std::vector<Duration> until(spec.m_steps.size());
@@ -113,7 +102,7 @@
   task.m_placed = task.m_progressed = agent.m_last_start = now;
   Order order{.m_number = agent.m_next_order++};
   order.m_start = OrderFor(need.m_job, need.m_ref, task);
-  const auto* const ticket = FindTicket(need.m_step, agent.m_worker);
+  const auto* const ticket = FindTicket(need.m_step, agent.m_worker, now);
   if (ticket != nullptr) order.m_start.m_ticket = *ticket;
   task.m_order = order.m_number;
   agent.m_orders.push_back(std::move(order));
@@ -169,6 +158,7 @@
   LogDecision(state, "step waits", ref, 0, {},
               std::to_string(waiting) +
                   " tasks; workers passed over: " + std::to_string(passed_over.m_full) + " full, " +
+                  std::to_string(passed_over.m_unadvised) + " without a ticket, " +
                   std::to_string(passed_over.m_small_share) + " with too small a share, " +
                   std::to_string(passed_over.m_on_probation) + " with a suspect, " +
                   std::to_string(passed_over.m_ineligible) + " not eligible");
@@ -181,38 +171,43 @@
   return std::max(last, (state.m_epoch - 1) * kRunsPerEpoch) + 1;
 }
 
+TaskRef RefOf(const ReadyStep& ready, const std::uint32_t index) {
+  return {.m_job = ready.m_job->m_spec.m_id,
+          .m_occurrence = ready.m_occurrence,
+          .m_step = ready.m_step,
+          .m_index = index};
+}
+
+/// Returns whether the task waits for nothing but a worker.
+bool MayStart(const Coordinator& state, const Time now, const TaskRef& ref, const Task& task) {
+  return task.m_phase == TaskPhase::kWaiting && task.m_not_before <= now &&
+         state.m_strays.count(ref) == 0;
+}
+
+/// Returns whether the other tasks of the step may find a worker where this one finds none. The
+/// tasks of a step are alike, except for one that has failed before, perhaps on the only workers
+/// with room, and for a suspect, which is kept apart from other suspects.
+bool MayDiffer(const Task& task) noexcept { return !task.m_failed_on.empty() || task.m_suspect; }
+
 void StartTasks(Coordinator& state, const Time now, const ReadyStep& ready) {
   Job& job = *ready.m_job;
-  StepState& step = job.m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
-  const StepSpec& spec = job.m_spec.m_steps[ready.m_step];
+  StepState& step = StepOf(ready);
   std::vector<PlacedTasks> placed;
   for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
     Task& task = step.m_tasks[i];
-    if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) continue;
-    const TaskRef ref{.m_job = job.m_spec.m_id,
-                      .m_occurrence = ready.m_occurrence,
-                      .m_step = ready.m_step,
-                      .m_index = i};
-    if (state.m_strays.count(ref) > 0) continue;
+    const TaskRef ref = RefOf(ready, i);
+    if (!MayStart(state, now, ref, task)) continue;
     if (FailIfGivenUp(state, job, ref, task)) break;
-    const TaskNeed need{.m_state = state,
-                        .m_job = job,
-                        .m_spec = spec,
-                        .m_step = step,
-                        .m_ref = ref,
-                        .m_task = task};
+    const TaskNeed need = NeedOf(state, ready, i, TicketUse::kValid);
     PassedOver passed_over;
     Agent* const agent = ChooseWorker(state, need, now, passed_over);
     if (agent == nullptr) {
       LogWaiting(state, step, ref, passed_over);
-      if (spec.m_fills) {
+      if (need.m_spec.m_fills) {
         step.m_blocked_until = now + state.m_options.m_blocked_delay;
         step.m_blocked_at = state.m_workers_added;
       }
-      // The tasks of a step are alike, so the others find no worker either. A task that has failed
-      // before may differ, because it may have failed on the only workers with room, and a suspect
-      // is kept apart from other suspects.
-      if (task.m_failed_on.empty() && !task.m_suspect) break;
+      if (!MayDiffer(task)) break;
       continue;
     }
     Start(state, now, *agent, need, job, task, NextRun(state, task.m_run));
@@ -220,139 +215,97 @@
     step.m_waits = false;
     job.m_last_ran = now;
   }
-  LogPlaced(state,
-            {.m_job = job.m_spec.m_id, .m_occurrence = ready.m_occurrence, .m_step = ready.m_step},
-            placed);
+  LogPlaced(state, RefOf(ready, 0), placed);
+}
+
+/// Returns a worker for each member of the gang, or nothing when there is none for one of them.
+/// Each choice takes account of the previous ones.
+std::vector<Agent*> ReserveGang(Coordinator& state, const Time now, const ReadyStep& ready,
+                                const TicketUse tickets, PassedOver& passed_over) {
+  StepState& step = StepOf(ready);
+  std::vector<Agent*> reserved;
+  for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+    Task& task = step.m_tasks[i];
+    if (!MayStart(state, now, RefOf(ready, i), task)) break;
+    passed_over = {};
+    Agent* const agent = ChooseWorker(state, NeedOf(state, ready, i, tickets), now, passed_over);
+    if (agent == nullptr) break;
+    task.m_agent = agent->m_id;
+    AddPlacedRun(state, *agent, RefOf(ready, i), task);
+    reserved.push_back(agent);
+  }
+  for (std::uint32_t i = 0; i < reserved.size(); ++i) {
+    RemovePlacedRun(state, RefOf(ready, i), step.m_tasks[i]);
+  }
+  if (reserved.size() < step.m_tasks.size()) reserved.clear();
+  return reserved;
 }
 
 /// Starts all members of a gang or none, because some members would wait for the others in vain.
 void StartGang(Coordinator& state, const Time now, const ReadyStep& ready) {
   Job& job = *ready.m_job;
-  StepState& step = job.m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
-  const StepSpec& spec = job.m_spec.m_steps[ready.m_step];
+  StepState& step = StepOf(ready);
   RunNumber last = 0;
   std::string checkpoint;
-  const auto ref_of = [&](const std::uint32_t i) {
-    return TaskRef{.m_job = job.m_spec.m_id,
-                   .m_occurrence = ready.m_occurrence,
-                   .m_step = ready.m_step,
-                   .m_index = i};
-  };
   for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
     const Task& task = step.m_tasks[i];
-    if (task.m_phase != TaskPhase::kWaiting || task.m_not_before > now) return;
-    if (state.m_strays.count(ref_of(i)) > 0) return;
-    if (FailIfGivenUp(state, job, ref_of(i), task)) return;
+    if (!MayStart(state, now, RefOf(ready, i), task)) return;
+    if (FailIfGivenUp(state, job, RefOf(ready, i), task)) return;
     last = std::max(last, task.m_run);
     // The checkpoint of any member is valid for all members, and they must start from the same one.
     if (!task.m_checkpoint.empty()) checkpoint = task.m_checkpoint;
   }
-  std::vector<std::pair<Agent*, TaskRef>> reserved;
-  const auto need_of = [&](const std::uint32_t i) {
-    return TaskNeed{.m_state = state,
-                    .m_job = job,
-                    .m_spec = spec,
-                    .m_step = step,
-                    .m_ref = ref_of(i),
-                    .m_task = step.m_tasks[i]};
-  };
-  // Reserve room for each member first, so that each choice takes account of the previous ones.
-  for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
-    PassedOver passed_over;
-    Agent* const agent = ChooseWorker(state, need_of(i), now, passed_over);
-    if (agent == nullptr) {
-      LogWaiting(state, step, ref_of(i), passed_over);
-      break;
-    }
-    step.m_tasks[i].m_agent = agent->m_id;
-    AddPlacedRun(state, *agent, ref_of(i), step.m_tasks[i]);
-    reserved.emplace_back(agent, ref_of(i));
-  }
-  const bool complete = reserved.size() == step.m_tasks.size();
-  for (const auto& [agent, ref] : reserved) RemovePlacedRun(state, ref, step.m_tasks[ref.m_index]);
-  if (!complete) return;
+  PassedOver passed_over;
+  const auto reserved = ReserveGang(state, now, ready, TicketUse::kValid, passed_over);
+  if (reserved.empty()) return LogWaiting(state, step, RefOf(ready, 0), passed_over);
   const RunNumber run = NextRun(state, last);
   std::vector<PlacedTasks> placed;
-  for (const auto& [agent, ref] : reserved) {
-    step.m_tasks[ref.m_index].m_checkpoint = checkpoint;
-    Start(state, now, *agent, need_of(ref.m_index), job, step.m_tasks[ref.m_index], run);
-    AddPlaced(placed, ref.m_index, run, *agent);
+  for (std::uint32_t i = 0; i < reserved.size(); ++i) {
+    step.m_tasks[i].m_checkpoint = checkpoint;
+    Start(state, now, *reserved[i], NeedOf(state, ready, i, TicketUse::kValid), job,
+          step.m_tasks[i], run);
+    AddPlaced(placed, i, run, *reserved[i]);
   }
-  LogPlaced(state, ref_of(0), placed);
+  LogPlaced(state, RefOf(ready, 0), placed);
   job.m_last_ran = now;
 }
 
-/// Returns the workers to ask the advice service about next: workers with room first, without those
-/// already asked about. Empty while there is a ticket for a worker with room.
-std::vector<const WorkerInfo*> NextToAdvise(const Coordinator& state, const TaskNeed& need) {
-  constexpr std::size_t kMaxWorkersPerRequest = 100;  // Limit of the advice service.
-  std::vector<const WorkerInfo*> with_room;
-  std::vector<const WorkerInfo*> full;
-  for (const auto& [id, agent] : state.m_agents) {
-    if (!IsEligible(need, agent)) continue;
-    const bool has_room = HasCapacity(need, agent);
-    if (FindTicket(need.m_step, agent.m_worker) != nullptr) {
-      if (has_room) return {};
-    } else if (!IsAdvised(need.m_step, agent.m_worker)) {
-      (has_room ? with_room : full).push_back(&agent.m_worker);
-    }
-  }
-  // After the first answer another call is only worth its cost for workers with room.
-  if (need.m_step.m_advised.empty()) with_room.insert(with_room.end(), full.begin(), full.end());
-  if (with_room.size() > kMaxWorkersPerRequest) with_room.resize(kMaxWorkersPerRequest);
-  return with_room;
-}
+}  // namespace
 
-/// Returns whether the step has valid tickets or needs none. Requests advice when it has no ticket
-/// for a worker with room.
-bool HasAdvice(Coordinator& state, const Time now, const ReadyStep& ready) {
-  Job& job = *ready.m_job;
-  if (!job.m_spec.m_policy.m_advised) return true;
-  StepState& step = job.m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
-  const bool valid = now < step.m_advice_until;
-  if (step.m_advice_asked && now - step.m_advice_asked_at < state.m_options.m_advice_retry) {
-    return valid;
-  }
-  if (!valid) {
-    step.m_tickets.clear();
-    step.m_advised.clear();
-  }
-  AdviceRequest request{.m_step = {.m_job = job.m_spec.m_id,
-                                   .m_occurrence = ready.m_occurrence,
-                                   .m_step = ready.m_step}};
-  const TaskNeed need{.m_state = state,
-                      .m_job = job,
-                      .m_spec = job.m_spec.m_steps[ready.m_step],
-                      .m_step = step,
-                      .m_ref = request.m_step,
-                      .m_task = step.m_tasks.front()};
-  const auto workers = NextToAdvise(state, need);
-  if (workers.empty()) return valid;
-  for (const auto* const worker : workers) {
-    request.m_workers.push_back(worker->m_id);
-    step.m_advised[worker->m_id] = worker->m_born;
-    // A ticket that is left is for a former life of the worker.
-    step.m_tickets.erase(worker->m_id);
-  }
-  step.m_advice_asked = true;
-  step.m_advice_asked_at = now;
-  state.m_advice_requests.push_back(std::move(request));
-  return valid;
+StepState& StepOf(const ReadyStep& ready) {
+  return ready.m_job->m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
 }
 
-}  // namespace
+TaskNeed NeedOf(const Coordinator& state, const ReadyStep& ready, const std::uint32_t index,
+                const TicketUse tickets) {
+  const StepState& step = StepOf(ready);
+  return {.m_state = state,
+          .m_job = *ready.m_job,
+          .m_spec = ready.m_job->m_spec.m_steps[ready.m_step],
+          .m_step = step,
+          .m_ref = RefOf(ready, index),
+          .m_task = step.m_tasks[index],
+          .m_tickets = tickets};
+}
 
-void OnAdvice(Coordinator& state, const TaskRef& step, std::map<WorkerId, std::string> tickets,
-              const Time until) {
-  Job* const job = FindJob(state, step.m_job);
-  if (job == nullptr) return;
-  const auto occurrence = job->m_occurrences.find(step.m_occurrence);
-  if (occurrence == job->m_occurrences.end()) return;
-  StepState& found = occurrence->second.m_steps[step.m_step];
-  found.m_advice_asked = false;
-  // Tickets of an earlier answer expire first, and all tickets are renewed at that time.
-  found.m_advice_until = found.m_tickets.empty() ? until : std::min(found.m_advice_until, until);
-  for (auto& [worker, ticket] : tickets) found.m_tickets[worker] = std::move(ticket);
+bool CouldStart(Coordinator& state, const Time now, const ReadyStep& ready,
+                const TicketUse tickets) {
+  const TaskRef step = RefOf(ready, 0);
+  if (ready.m_job->m_spec.m_steps[step.m_step].m_gang) {
+    PassedOver passed_over;
+    return !ReserveGang(state, now, ready, tickets, passed_over).empty();
+  }
+  const auto& tasks = StepOf(ready).m_tasks;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    const TaskRef ref = RefOf(ready, i);
+    if (!MayStart(state, now, ref, tasks[i])) continue;
+    PassedOver passed_over;
+    if (ChooseWorker(state, NeedOf(state, ready, i, tickets), now, passed_over) != nullptr) {
+      return true;
+    }
+    if (!MayDiffer(tasks[i])) return false;
+  }
+  return false;
 }
 
 void ComputeChains(Job& job) {
@@ -382,14 +335,14 @@
   });
   if (serves) RefreshFillingRoom(state, now);
   for (const auto& step : ready) {
-    if (step.m_job->m_closed) continue;
-    if (!HasAdvice(state, now, step)) continue;
+    if (step.m_job->m_closed || !HasTicket(step, now)) continue;
     if (step.m_job->m_spec.m_steps[step.m_step].m_gang) {
       StartGang(state, now, step);
     } else {
       StartTasks(state, now, step);
     }
   }
+  RequestAdvice(state, now, ready);
 }
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -109,7 +109,8 @@
                       .m_spec = spec,
                       .m_step = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step],
                       .m_ref = ref,
-                      .m_task = task};
+                      .m_task = task,
+                      .m_tickets = TicketUse::kAllowed};
   if (!HasBetterWorker(state, need, agent, now)) return;
   OrderStop(state, ref, task, "slow here, and a better place is free");
 }
--- a/packages/core/src/fleet/serving_moves.cc
+++ b/packages/core/src/fleet/serving_moves.cc
@@ -74,7 +74,8 @@
           .m_spec = job.m_spec.m_steps[ref.m_step],
           .m_step = step,
           .m_ref = ref,
-          .m_task = step.m_tasks[ref.m_index]};
+          .m_task = step.m_tasks[ref.m_index],
+          .m_tickets = TicketUse::kAllowed};
 }
 
 /// Returns whether a stop would leave all other tasks of the step at work.
@@ -102,7 +103,7 @@
   for (const auto& mix : mixes) {
     const Agent& agent = *mix.m_agent;
     if (&mix == from.m_mix || IsPaused(agent.m_health, now)) continue;
-    if (!IsEligible(need, agent) || !HasRoom(need, agent)) continue;
+    if (!IsEligible(need, agent) || !HasRoom(need, agent, now)) continue;
     auto names = mix.m_names;
     names.insert(*from.m_image);
     const auto cpu_millis = mix.m_cpu_millis + need.m_spec.m_size.m_cpu_millis;
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -189,20 +189,31 @@
   return spec.m_max_per_worker == 0 || CountOfStep(agent, need.m_ref) < spec.m_max_per_worker;
 }
 
-bool HasRoom(const TaskNeed& need, const Agent& agent) noexcept {
-  if (!HasCapacity(need, agent)) return false;
-  return !need.m_job.m_spec.m_policy.m_advised ||
-         FindTicket(need.m_step, agent.m_worker) != nullptr;
+const WorkerAdvice* FindAdvice(const StepState& step, const WorkerInfo& worker) noexcept {
+  const auto advice = step.m_advice.find(worker.m_id);
+  if (advice == step.m_advice.end() || advice->second.m_born != worker.m_born) return nullptr;
+  return &advice->second;
 }
 
-bool IsAdvised(const StepState& step, const WorkerInfo& worker) noexcept {
-  const auto asked = step.m_advised.find(worker.m_id);
-  return asked != step.m_advised.end() && asked->second == worker.m_born;
+const std::string* FindTicket(const StepState& step, const WorkerInfo& worker,
+                              const Time now) noexcept {
+  const auto* const advice = FindAdvice(step, worker);
+  const bool valid = advice != nullptr && advice->m_allowed && now < advice->m_until;
+  return valid ? &advice->m_ticket : nullptr;
 }
 
-const std::string* FindTicket(const StepState& step, const WorkerInfo& worker) noexcept {
-  const auto ticket = step.m_tickets.find(worker.m_id);
-  return ticket != step.m_tickets.end() && IsAdvised(step, worker) ? &ticket->second : nullptr;
+bool IsAdvised(const TaskNeed& need, const Agent& agent, const Time now) noexcept {
+  if (!need.m_job.m_spec.m_policy.m_advised) return true;
+  if (need.m_tickets == TicketUse::kValid) {
+    return FindTicket(need.m_step, agent.m_worker, now) != nullptr;
+  }
+  const auto* const advice = FindAdvice(need.m_step, agent.m_worker);
+  if (advice == nullptr) return need.m_tickets == TicketUse::kPossible;
+  return advice->m_allowed;
+}
+
+bool HasRoom(const TaskNeed& need, const Agent& agent, const Time now) noexcept {
+  return HasCapacity(need, agent) && IsAdvised(need, agent, now);
 }
 
 namespace {
@@ -210,7 +221,8 @@
 /// Calls `visit` for workers with room until it returns false. For a filling task the number of
 /// workers is limited, and the search begins where the last one ended.
 template <typename F>
-void VisitWorkers(Coordinator& state, const TaskNeed& need, PassedOver& passed_over, F visit) {
+void VisitWorkers(Coordinator& state, const TaskNeed& need, const Time now, PassedOver& passed_over,
+                  F visit) {
   if (state.m_agents.empty()) return;
   const bool bounded = need.m_spec.m_fills;
   auto candidate =
@@ -223,10 +235,14 @@
       ++passed_over.m_ineligible;
       continue;
     }
-    if (!HasRoom(need, agent)) {
+    if (!HasCapacity(need, agent)) {
       ++passed_over.m_full;
       continue;
     }
+    if (!IsAdvised(need, agent, now)) {
+      ++passed_over.m_unadvised;
+      continue;
+    }
     if (bounded && compared++ == state.m_options.m_max_compared_workers) {
       state.m_next_compared = candidate->first;
       return;
@@ -240,7 +256,7 @@
 bool HasBetterWorker(Coordinator& state, const TaskNeed& need, const Agent& agent, const Time now) {
   bool found = false;
   PassedOver passed_over;
-  VisitWorkers(state, need, passed_over, [&](const Agent& other) {
+  VisitWorkers(state, need, now, passed_over, [&](const Agent& other) {
     found = other.m_id != agent.m_id && !IsPaused(other.m_health, now) &&
             EstimatePlacement(need, other, now).m_share >= state.m_options.m_min_share_to_move;
     return !found;
@@ -261,7 +277,7 @@
   double best_cost = std::numeric_limits<double>::infinity();
   // The members of a gang have to start together.
   const bool apart = need.m_task.m_suspect && !need.m_spec.m_gang;
-  VisitWorkers(state, need, passed_over, [&](Agent& agent) {
+  VisitWorkers(state, need, now, passed_over, [&](Agent& agent) {
     if (apart && agent.m_suspects > 0) {
       ++passed_over.m_on_probation;
       return true;
--- a/packages/core/tests/fleet/advice_test.cc
+++ b/packages/core/tests/fleet/advice_test.cc
@@ -20,7 +20,7 @@
   void AWorkerThatComesBackIsAskedAboutAgain() {
     Site site = AskAboutOneWorker();
     const auto first = TakeRequest(site);
-    OnAdvice(site.m_state, first.m_step, {{{"w-a"}, "old"}}, site.m_now + 60s);
+    OnAdvice(site.m_state, site.m_now, first.m_number, {{{"w-a"}, "old"}}, 120s);
     auto starts = site.Starts();
     CPPUNIT_ASSERT_EQUAL(std::string{"old"}, starts.at(0).second.m_ticket);
 
@@ -29,7 +29,7 @@
     CPPUNIT_ASSERT(site.Starts().empty());
     const auto second = TakeRequest(site);
     CPPUNIT_ASSERT(second.m_workers == first.m_workers);
-    OnAdvice(site.m_state, second.m_step, {{{"w-a"}, "new"}}, site.m_now + 60s);
+    OnAdvice(site.m_state, site.m_now, second.m_number, {{{"w-a"}, "new"}}, 120s);
     starts = site.Starts();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
     CPPUNIT_ASSERT_EQUAL(std::string{"new"}, starts[0].second.m_ticket);
@@ -40,7 +40,7 @@
     Site site = AskAboutOneWorker();
     const auto first = TakeRequest(site);
     ComeBack(site);
-    OnAdvice(site.m_state, first.m_step, {{{"w-a"}, "old"}}, site.m_now + 60s);
+    OnAdvice(site.m_state, site.m_now, first.m_number, {{{"w-a"}, "old"}}, 120s);
     CPPUNIT_ASSERT(site.Starts().empty());
     CPPUNIT_ASSERT(TakeRequest(site).m_workers == first.m_workers);
   }
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -350,11 +350,11 @@
     CPPUNIT_ASSERT(first.m_workers.front() >= WorkerId{"w-a" + std::to_string(1000 + kFull)});
     // No worker of the answer may run the step, so the next request names the other workers with
     // room, and only once.
-    OnAdvice(site.m_state, first.m_step, {}, site.m_now + 10s);
+    OnAdvice(site.m_state, site.m_now, first.m_number, {}, 20s);
     CPPUNIT_ASSERT(site.Starts().empty());
     const auto second = std::exchange(site.m_state.m_advice_requests, {}).front();
     CPPUNIT_ASSERT_EQUAL(kWorkers - kFull - 100, second.m_workers.size());
-    OnAdvice(site.m_state, second.m_step, {{second.m_workers.back(), "ticket"}}, site.m_now + 10s);
+    OnAdvice(site.m_state, site.m_now, second.m_number, {{second.m_workers.back(), "ticket"}}, 20s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.Starts().size());
     CPPUNIT_ASSERT(site.m_state.m_advice_requests.empty());
   }
--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 FleetSite::FleetSite(const std::size_t entries, const std::size_t agents, const bool with_config)
-    : m_store_address(FreeAddress()) {
+    : m_store_address(FreeAddress()), m_advice_address(FreeAddress()) {
   m_store = standin::CreateStandin("store", m_store_address);
   m_store->Start();
   if (with_config) PutConfig(1, "/renders/");
@@ -76,7 +76,8 @@
                             .m_rpc_address = at.m_rpc,
                             .m_metrics_address = at.m_metrics,
                             .m_readiness_address = at.m_readiness,
-                            .m_store_url = "http://" + m_store_address};
+                            .m_store_url = "http://" + m_store_address,
+                            .m_advice_url = "http://" + m_advice_address};
   m_entries[entry] = CreateRole(settings.m_role, settings);
   m_entries[entry]->Start();
 }
@@ -151,9 +152,31 @@
   SetStoreFaults(faults.serialize());
 }
 
-void FleetSite::PutConfig(const int version, const std::string& prefix) const {
+void FleetSite::PutConfig(const int version, const std::string& prefix,
+                          const std::string& advice) const {
   PutRecord(platform::GetPlatformPlugin()->m_config_topic,
-            platform::GetPlatformPlugin()->m_config_key, standin::UsersConfig(version, prefix));
+            platform::GetPlatformPlugin()->m_config_key,
+            standin::UsersConfig(version, prefix, advice));
+}
+
+void FleetSite::StartAdvice() {
+  m_advice = standin::CreateStandin("advice", m_advice_address);
+  m_advice->Start();
+}
+
+void FleetSite::SetAdviceSilent(const bool silent) const {
+  (void)SendHttp(m_advice_address, "POST", "/faults",
+                 silent ? R"({"silent":true})" : R"({"silent":false})");
+}
+
+int FleetSite::AdviceCount(const std::string& counter) const {
+  return SumOf({GetText(m_advice_address, "/sim")}, counter);
+}
+
+int FleetSite::RefusedTickets() const {
+  std::vector<std::string> texts;
+  for (const auto& at : m_agent_addresses) texts.push_back(GetText(at.m_worker, "/sim"));
+  return SumOf(texts, "refused_tickets");
 }
 
 void FleetSite::SetEvacuation(const std::string& domain, const bool requested) const {
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -43,8 +43,17 @@
   [[nodiscard]] HttpResult SendHeartbeat(std::size_t agent, const std::string& id,
                                          const std::string& body) const;
 
-  /// Puts a configuration with one queue under the path `prefix` into the store.
-  void PutConfig(int version, const std::string& prefix) const;
+  /// Puts a configuration with one queue under the path `prefix` into the store. `advice` gives
+  /// the figures of the advice service, see UsersConfig.
+  void PutConfig(int version, const std::string& prefix, const std::string& advice = "null") const;
+  /// Starts the advice service, which its flags describe.
+  void StartAdvice();
+  /// While it is silent, calls to the advice service wait.
+  void SetAdviceSilent(bool silent) const;
+  /// Returns a counter of the advice service: "answered" or "refused".
+  [[nodiscard]] int AdviceCount(const std::string& counter) const;
+  /// Returns the number of starts that workers refused for their tickets.
+  [[nodiscard]] int RefusedTickets() const;
   /// Requests or ends the evacuation of a failure domain. All workers are in "domain-a".
   void SetEvacuation(const std::string& domain, bool requested) const;
   /// Waits until the entry's metrics show `count` failure domains under evacuation.
@@ -79,6 +88,8 @@
   std::vector<EntryAddresses> m_entry_addresses;
   std::vector<AgentAddresses> m_agent_addresses;
   std::unique_ptr<standin::Standin> m_store;
+  std::string m_advice_address;
+  std::unique_ptr<standin::Standin> m_advice;
   std::vector<std::unique_ptr<standin::Standin>> m_workers;
   std::vector<std::unique_ptr<Role>> m_entries;
   std::vector<std::unique_ptr<Role>> m_agents;
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -124,7 +124,7 @@
   if (MayAct(m_leadership, BootNow()) && m_evacuations.m_known) {
     Plan(m_state, BootNow(), WallNow());
     for (auto& [id, agent] : m_state.m_agents) SendOrders(agent);
-    RequestAdvice();
+    SendAdviceRequests();
   }
   Flush();
   LogDecisions();
@@ -163,14 +163,21 @@
              });
 }
 
-void CoordinatorService::RequestAdvice() {
+void CoordinatorService::SendAdviceRequests() {
   for (auto& request : std::exchange(m_state.m_advice_requests, {})) {
-    if (m_advice == nullptr) continue;
-    m_advice->Ask(request, [this, events = m_events, request,
-                            sent = BootNow()](core::Captured<platform::Advice> advice) {
-      events->Post([this, request, sent, advice = std::move(advice)] {
-        OnAdviceAnswer(request, sent, advice);
-      });
+    const auto on_answer = [this, request, epoch = m_leadership.m_epoch,
+                            sent = BootNow()](const core::Captured<platform::Advice>& advice) {
+      // A call of an earlier epoch is unknown to the state of this one.
+      if (IsActive() && epoch == m_leadership.m_epoch) OnAdviceAnswer(request, sent, advice);
+    };
+    if (m_advice == nullptr) {
+      on_answer({.m_error = core::Error{.m_kind = core::ErrorKind::kNotFound,
+                                        .m_message = "no advice service is configured; set url in "
+                                                     "section [advice] of the settings"}});
+      continue;
+    }
+    m_advice->Ask(request, [events = m_events, on_answer](core::Captured<platform::Advice> advice) {
+      events->Post([on_answer, advice = std::move(advice)] { on_answer(advice); });
     });
   }
 }
@@ -178,21 +185,24 @@
 void CoordinatorService::OnAdviceAnswer(const core::fleet::AdviceRequest& request,
                                         const core::Time sent,
                                         const core::Captured<platform::Advice>& advice) {
-  if (!advice.Ok()) {
-    LogEvent(kAdviceFailed,
-             {{"step", TaskText(request.m_step)}, {"reason", advice.m_error->m_message}});
-    return;
-  }
-  // The advice is used for half of its validity, counted from the request, so that a start is
-  // carried out while the ticket is still valid.
-  const auto until = sent + advice.m_value->m_valid / 2;
   const auto now = BootNow();
-  LogEvent(kAdviceReceived, {{"step", TaskText(request.m_step)},
+  if (advice.Ok()) {
+    const auto& answer = *advice.m_value;
+    LogEvent(kAdviceReceived, {{"step", TaskText(request.m_step)},
+                               {"workers", request.m_workers.size()},
+                               {"good", answer.m_tickets.size()},
+                               {"waited_ms", (now - sent).count() / 1000},
+                               {"valid_ms", answer.m_valid.count() / 1000},
+                               {"steps_waiting", m_state.m_unadvised_steps}});
+    OnAdvice(m_state, now, request.m_number, answer.m_tickets, answer.m_valid);
+  } else {
+    LogEvent(kAdviceFailed, {{"step", TaskText(request.m_step)},
                              {"workers", request.m_workers.size()},
-                             {"good", advice.m_value->m_tickets.size()},
                              {"waited_ms", (now - sent).count() / 1000},
-                             {"usable_ms", (until - now).count() / 1000}});
-  OnAdvice(m_state, request.m_step, advice.m_value->m_tickets, until);
+                             {"steps_waiting", m_state.m_unadvised_steps},
+                             {"reason", advice.m_error->m_message}});
+    OnAdviceFailed(m_state, now, request.m_number);
+  }
   ScheduleCycle();
 }
 
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -175,7 +175,7 @@
   void ScheduleCycle();
   void RunCycle();
   void SendOrders(core::fleet::Agent& agent);
-  void RequestAdvice();
+  void SendAdviceRequests();
   void OnAdviceAnswer(const core::fleet::AdviceRequest& request, core::Time sent,
                       const core::Captured<platform::Advice>& advice);
   void Flush();
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -246,6 +246,11 @@
     m_fleet_metrics.Set("runs_done_total", static_cast<double>(counters.m_done));
     m_fleet_metrics.Set("runs_failed_total", static_cast<double>(counters.m_failed));
     m_fleet_metrics.Set("runs_lost_total", static_cast<double>(counters.m_lost));
+    m_fleet_metrics.Set("advice_answers_total", static_cast<double>(counters.m_advice_answers));
+    m_fleet_metrics.Set("advice_failures_total", static_cast<double>(counters.m_advice_failures));
+    m_fleet_metrics.Set("advice_calls_open",
+                        static_cast<double>(state.m_advice_calls.m_open.size()));
+    m_fleet_metrics.Set("steps_without_advice", static_cast<double>(state.m_unadvised_steps));
   }
 
   void WatchConfig() {
--- a/packages/platform/include/ebonypin/platform/advice.h
+++ b/packages/platform/include/ebonypin/platform/advice.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "ebonypin/core/error.h"
-#include "ebonypin/core/fleet/coordinator.h"
+#include "ebonypin/core/fleet/advice_calls.h"
 
 namespace ebonypin::platform {
 
@@ -22,6 +22,7 @@
   AdviceService(const AdviceService&) = delete;
   AdviceService& operator=(const AdviceService&) = delete;
 
+  /// Sends the request and calls `done` exactly once, after its deadline at the latest.
   virtual void Ask(const core::fleet::AdviceRequest& request,
                    std::function<void(core::Captured<Advice>)> done) = 0;
 };
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -2,7 +2,8 @@
 ///
 /// It serves /run-start, /run-stop, /hold and /pace as the platform's pages describe them, and
 ///
-///     GET  /sim                           -> {"starts": n, "running": n, "born": n}
+///     GET  /sim                           -> {"starts": n, "running": n, "born": n,
+///                                             "refused_tickets": n}
 ///     GET  /sim/runs                      -> [{"Task": s, "Run": n, "StartedUs": n, "EndedUs": n,
 ///                                              "How": s, "Acknowledged": b}], newest runs of this
 ///                                            life on the steady clock; no EndedUs while at work
@@ -18,6 +19,7 @@
 #include <thread>
 
 #include "ebonypin/standin/standin.h"
+#include "ebonypin/standin/ticket.h"
 #include "read_body.h"
 #include "run_worker_sim.h"
 
@@ -116,6 +118,7 @@
     json["starts"] = value::number(m_sim.m_starts);
     json["running"] = value::number(static_cast<std::uint64_t>(m_sim.m_runs.size()));
     json["born"] = value::number(m_born_wall);
+    json["refused_tickets"] = value::number(m_refused_tickets);
     request.reply(status_codes::OK, json);
   }
 
@@ -168,9 +171,15 @@
   }
 
   std::string StartOf(const value& body) {
-    return ebonypin::standin::Start(
-        m_sim, Now(), body.at("Task").as_string(), body.at("Run").as_number().to_uint64(),
-        body.at("Spec").as_string(), body.at("DeadlineMs").as_number().to_int64());
+    const auto& task = body.at("Task").as_string();
+    if (body.has_field("Ticket") &&
+        !IsTicketValid(body.at("Ticket").as_string(), task, m_id, Now())) {
+      ++m_refused_tickets;
+      return "ticket";
+    }
+    return ebonypin::standin::Start(m_sim, Now(), task, body.at("Run").as_number().to_uint64(),
+                                    body.at("Spec").as_string(),
+                                    body.at("DeadlineMs").as_number().to_int64());
   }
 
   void Hold(const http_request& request, const value& body) {
@@ -296,6 +305,7 @@
   bool m_silent = false;
   bool m_draining = false;
   int m_late_starts = 0;
+  std::uint64_t m_refused_tickets = 0;
   RunWorkerSim m_sim;
   std::int64_t m_born_wall = 0;
   std::uint64_t m_sequence = 0;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -40,6 +40,8 @@
   times @10 :UInt32;
   firstDue @11 :Int64;
   intervalMs @12 :Int64;
+  adviceCallUs @13 :Int64;
+  adviceWorkerUs @14 :Int64;
 }
 
 struct TaskRef { job @0 :Text; occurrence @1 :UInt32; step @2 :UInt32; index @3 :UInt32; }
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -80,6 +80,8 @@
   out.setStretch(in.m_policy.m_stretch);
   out.setObjectiveUs(in.m_policy.m_objective.count());
   out.setAdvised(in.m_policy.m_advised);
+  out.setAdviceCallUs(in.m_policy.m_advice_call_time.count());
+  out.setAdviceWorkerUs(in.m_policy.m_advice_worker_time.count());
   out.setPayload(PutData(in.m_payload));
   PutList(out.initSteps(ListSize(in.m_steps)), in.m_steps);
   out.setTimes(in.m_times);
@@ -95,7 +97,9 @@
                        .m_attempts = in.getAttempts(),
                        .m_stretch = in.getStretch(),
                        .m_objective = core::Duration{in.getObjectiveUs()},
-                       .m_advised = in.getAdvised()},
+                       .m_advised = in.getAdvised(),
+                       .m_advice_call_time = core::Duration{in.getAdviceCallUs()},
+                       .m_advice_worker_time = core::Duration{in.getAdviceWorkerUs()}},
           .m_payload = GetData(in.getPayload()),
           .m_steps = GetList<core::fleet::StepSpec>(in.getSteps()),
           .m_times = in.getTimes(),
