Renew the ticket of a start that came to nothing

Callers saw a job of a queue with advice wait for up to half of the tickets' validity while its start was repeated with a ticket that the worker refuses.

Cause: a worker refuses a start whose ticket has expired on its way, because the answer of the service or the order was late. The agent then does not list the run, and the coordinator placed the task again with the same ticket until it took that for expired.

Change: a run that is lost ends the use of its ticket, so that the step is asked about again before its next start. What the service said about the worker is kept; only the ticket is renewed.

AdviceTest::ALostStartIsRepeatedWithANewTicket fails without the change ("old" is sent again) and passes with it; core_tests 359 of 359.

--- a/packages/core/src/fleet/coordinator_advice.cc
+++ b/packages/core/src/fleet/coordinator_advice.cc
@@ -164,6 +164,14 @@
   }
 }
 
+void ExpireTicket(Coordinator& state, const TaskRef& ref, const AgentId& agent) {
+  StepState* const step = FindStep(state, ref);
+  const auto found = state.m_agents.find(agent);
+  if (step == nullptr || found == state.m_agents.end()) return;
+  const auto advice = step->m_advice.find(found->second.m_worker.m_id);
+  if (advice != step->m_advice.end()) advice->second.m_until = {};
+}
+
 void OnAdviceFailed(Coordinator& state, const Time now, const std::uint64_t number) {
   const auto call = End(state.m_advice_calls, now, number, AdviceOutcome::kFailed);
   if (!call) return;
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -33,6 +33,9 @@
 /// which they are to start.
 void RequestAdvice(Coordinator& state, Time now, const std::vector<ReadyStep>& ready);
 
+/// Ends the use of the step's ticket for the agent's worker, which may have refused it.
+void ExpireTicket(Coordinator& state, const TaskRef& ref, const AgentId& agent);
+
 /// Returns the task, or null when its job, occurrence or step is not open.
 [[nodiscard]] Task* FindTask(Coordinator& state, const TaskRef& ref) noexcept;
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -234,6 +234,7 @@
   ++state.m_counters.m_lost;
   LogFailure(state, "run lost", ref, task.m_run, task.m_agent, std::move(reason));
   AddRunTime(*FindJob(state, ref.m_job), now, task);
+  ExpireTicket(state, ref, task.m_agent);
   RemovePlacedRun(state, ref, task);
   task.m_not_before = now + state.m_options.m_refusal_delay;
 }
--- a/packages/core/tests/fleet/advice_test.cc
+++ b/packages/core/tests/fleet/advice_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(AdviceTest);
   CPPUNIT_TEST(AWorkerThatComesBackIsAskedAboutAgain);
   CPPUNIT_TEST(AnAnswerAboutAFormerLifeStartsNothing);
+  CPPUNIT_TEST(ALostStartIsRepeatedWithANewTicket);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,7 +36,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string{"new"}, starts[0].second.m_ticket);
   }
 
-  /// Guards against the same when the worker comes back before the answer arrives.
+  /// Guards against a start that is repeated with a ticket that the worker has refused, because the
+  /// answer of the service was late, until the coordinator takes the ticket for expired.
+  void ALostStartIsRepeatedWithANewTicket() {
+    Site site = AskAboutOneWorker();
+    const auto first = TakeRequest(site);
+    OnAdvice(site.m_state, site.m_now, first.m_number, {{{"w-a"}, "old"}}, 120s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.Starts().size());
+    (void)OnReport(site.m_state, site.m_now, site.Report("a"));  // Lists no run.
+    site.Advance(2s);
+    CPPUNIT_ASSERT(site.Starts().empty());
+    const auto second = TakeRequest(site);
+    OnAdvice(site.m_state, site.m_now, second.m_number, {{{"w-a"}, "new"}}, 120s);
+    CPPUNIT_ASSERT_EQUAL(std::string{"new"}, site.Starts().at(0).second.m_ticket);
+  }
+
+  /// Guards against a start with the ticket of a former life when the worker comes back before the
+  /// answer arrives.
   void AnAnswerAboutAFormerLifeStartsNothing() {
     Site site = AskAboutOneWorker();
     const auto first = TakeRequest(site);
