Take a report as the confirmation of the orders that it names

An agent that answers a call with orders later than its deadline of 0.6 s takes them, but the coordinator dropped the reply and sent the same 32 orders again. The orders behind them, stops among them, were not sent for as long as the agent stayed slow.

Change: a report of the session confirms the orders up to the one that it names as its last. The coordinator already relies on that number for runs that the report does not list.

Two tests sent reports that name the stop as taken and then expected it to be unconfirmed (AStalledRunIsMoved, ASlowFillingTaskMovesToWhereItIsHarmless): their reports now name the start only, and the checks are the same.

--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -322,6 +322,8 @@
     BeginSession(state, agent);
     DropStrays(state, agent);
   }
+  // The reply to a call with orders may be lost, or come too late at every attempt.
+  OnOrdersTaken(state, agent.m_id, agent.m_session, report.m_last_order);
   OpenReported(state, report);
   OnEnds(state, now, agent, report);
   OnCrashes(state, agent, report);
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -486,6 +486,7 @@
     site.Join("b");
     for (int i = 0; i < 40; ++i) {
       auto report = site.Report("a");
+      report.m_last_order = 1;  // The start; the stop is not taken yet.
       report.m_runs = {{.m_task = Ref("j"), .m_run = 1, .m_percent = 30}};
       (void)OnReport(site.m_state, site.m_now, report);
       (void)OnReport(site.m_state, site.m_now, site.Report("b"));
--- a/packages/core/tests/fleet/policy_test.cc
+++ b/packages/core/tests/fleet/policy_test.cc
@@ -302,6 +302,7 @@
       for (int i = 0; i < 4; ++i) {
         site.Advance(500ms);
         auto report = site.Report("a");
+        report.m_last_order = 1;  // The start; the stop is not taken yet.
         report.m_runs = {{.m_task = Ref("press"), .m_run = 1, .m_figure = cpu_in_use}};
         (void)OnReport(site.m_state, site.m_now, report);
         (void)OnReport(site.m_state, site.m_now, site.Report("b"));
