--- a/packages/core/tests/fleet/advice_site.cc
+++ b/packages/core/tests/fleet/advice_site.cc
@@ -117,7 +117,6 @@
       OnAdviceFailed(m_site.m_state, now, request.m_number);
       continue;
     }
-    m_asked.push_back(request.m_step);
     m_calls.push_back(
         {.m_request = request, .m_arrived = now + kLag, .m_deadline = now + request.m_deadline});
   }
--- a/packages/core/tests/fleet/advice_site.h
+++ b/packages/core/tests/fleet/advice_site.h
@@ -51,12 +51,11 @@
 
   [[nodiscard]] bool IsDone(const std::string& job) const;
   [[nodiscard]] bool AllDone() const { return m_site.m_state.m_open_jobs.empty(); }
+  /// Calls that the service has handled, and those that it has refused.
   [[nodiscard]] std::size_t Answered() const { return m_answered; }
   [[nodiscard]] std::size_t Refused() const { return m_refused; }
   /// Starts with a ticket that was no longer valid.
   [[nodiscard]] std::size_t Rejected() const { return m_rejected; }
-  /// Steps about which calls were made, in order.
-  [[nodiscard]] const std::vector<TaskRef>& Asked() const { return m_asked; }
 
  private:
   struct WaitingCall {
@@ -80,7 +79,6 @@
   Time m_busy_until;  ///< Of the first call; epoch: it has not begun.
   std::map<TaskRef, ActiveRun> m_runs;
   std::map<std::string, std::uint64_t> m_ends;
-  std::vector<TaskRef> m_asked;
   std::size_t m_submitted = 0;
   std::size_t m_answered = 0;
   std::size_t m_refused = 0;
