Use one lookup, one ticket check and one need for moves

- FindTask and the advice had a lookup of a step each: FindStep serves both.
- The check for a valid ticket stood in two places, and a third looked up the advice twice: IsTicketValid.
- CheckPlacement and the moves of serving tasks described a placed task alike: NeedToMove.
- Ask wrote RefOf again.
Whether a step is being asked about follows from the open calls (IsOpen), so StepState no longer keeps it.
- ticket.h is used by the stand-ins' sources only and moves beside them; FleetSite sums counters of workers, and AdviceSite makes advised jobs, in one place each.

--- a/packages/core/include/ebonypin/core/fleet/advice_calls.h
+++ b/packages/core/include/ebonypin/core/fleet/advice_calls.h
@@ -69,6 +69,9 @@
 /// that few calls that were given up wait in the service.
 [[nodiscard]] bool MayBegin(const AdviceCalls& calls, Time now) noexcept;
 
+/// Returns whether a call about the step of the task is open.
+[[nodiscard]] bool IsOpen(const AdviceCalls& calls, const TaskRef& ref) noexcept;
+
 /// Opens a call.
 [[nodiscard]] AdviceRequest Begin(AdviceCalls& calls, AdviceCall call);
 
--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -193,7 +193,6 @@
                              ///< before this time unless a worker is added.
   std::uint64_t m_blocked_at = 0;  ///< Value of `m_workers_added` when the search failed.
   std::map<WorkerId, WorkerAdvice> m_advice;
-  bool m_advice_asked = false;          ///< A call about the step is open.
   std::uint32_t m_advice_failures = 0;  ///< Calls about the step that failed since the last answer.
 };
 
--- a/packages/core/include/ebonypin/core/fleet/worker_choice.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_choice.h
@@ -55,6 +55,9 @@
 [[nodiscard]] const WorkerAdvice* FindAdvice(const StepState& step,
                                              const WorkerInfo& worker) noexcept;
 
+/// Returns whether starts may carry the ticket now.
+[[nodiscard]] bool IsTicketValid(const WorkerAdvice& advice, Time now) noexcept;
+
 /// Returns the ticket for starts on the worker now, or null.
 [[nodiscard]] const std::string* FindTicket(const StepState& step, const WorkerInfo& worker,
                                             Time now) noexcept;
--- a/packages/core/src/fleet/advice_calls.cc
+++ b/packages/core/src/fleet/advice_calls.cc
@@ -10,6 +10,14 @@
   return calls.m_open.size() < (calls.m_failing ? 1 : calls.m_options.m_max_open);
 }
 
+bool IsOpen(const AdviceCalls& calls, const TaskRef& ref) noexcept {
+  return std::any_of(calls.m_open.begin(), calls.m_open.end(), [&](const auto& open) {
+    const TaskRef& step = open.second.m_step;
+    return step.m_job == ref.m_job && step.m_occurrence == ref.m_occurrence &&
+           step.m_step == ref.m_step;
+  });
+}
+
 AdviceRequest Begin(AdviceCalls& calls, AdviceCall call) {
   AdviceRequest request{.m_number = ++calls.m_last_number, .m_step = call.m_step};
   for (const auto& [worker, born] : call.m_workers) request.m_workers.push_back(worker);
--- a/packages/core/src/fleet/coordinator_advice.cc
+++ b/packages/core/src/fleet/coordinator_advice.cc
@@ -24,14 +24,16 @@
 
 /// Returns the eligible workers. Those with a valid ticket are left out, except for a gang: its
 /// tickets have to be valid at the same time.
-Askable FindAskable(const TaskNeed& need, const Time now) {
+Askable FindAskable(const Coordinator& state, const Time now, const ReadyStep& ready) {
+  const TaskNeed need = NeedOf(state, ready, 0, TicketUse::kPossible);
   Askable found;
-  for (const auto& [id, agent] : need.m_state.m_agents) {
+  for (const auto& [id, agent] : state.m_agents) {
     if (!IsEligible(need, agent)) continue;
     const auto& worker = agent.m_worker;
     const auto* const advice = FindAdvice(need.m_step, worker);
     if (advice != nullptr && !advice->m_allowed) continue;
-    if (!need.m_spec.m_gang && FindTicket(need.m_step, worker, now) != nullptr) continue;
+    const bool valid = advice != nullptr && IsTicketValid(*advice, now);
+    if (valid && !need.m_spec.m_gang) continue;
     if (HasCapacity(need, agent)) {
       (advice != nullptr ? found.m_allowed : found.m_unknown).push_back(&worker);
     } else {
@@ -57,9 +59,7 @@
   StepState& step = StepOf(ready);
   DropGoneWorkers(state, step);
   const auto& policy = ready.m_job->m_spec.m_policy;
-  AdviceCall call{.m_step = {.m_job = ready.m_job->m_spec.m_id,
-                             .m_occurrence = ready.m_occurrence,
-                             .m_step = ready.m_step}};
+  AdviceCall call{.m_step = RefOf(ready, 0)};
   for (const auto* const worker : workers) {
     if (call.m_workers.size() == kMaxWorkersPerCall) break;
     call.m_workers.emplace(worker->m_id, worker->m_born);
@@ -67,13 +67,12 @@
   call.m_service_time =
       policy.m_advice_call_time +
       policy.m_advice_worker_time * static_cast<std::int64_t>(call.m_workers.size());
-  step.m_advice_asked = true;
   state.m_advice_requests.push_back(Begin(state.m_advice_calls, std::move(call)));
 }
 
 void AskAboutStart(Coordinator& state, const Time now, const ReadyStep& ready) {
   if (!CouldStart(state, now, ready, TicketUse::kPossible)) return;
-  auto askable = FindAskable(NeedOf(state, ready, 0, TicketUse::kPossible), now);
+  auto askable = FindAskable(state, now, ready);
   auto& workers = askable.m_allowed;
   // Which workers may run the step does not change, so the others are only asked about when these
   // have too little room.
@@ -91,7 +90,7 @@
 /// advice are named once.
 void AskAhead(Coordinator& state, const Time now, const ReadyStep& ready) {
   if (HasTicket(ready, now)) return;
-  const auto askable = FindAskable(NeedOf(state, ready, 0, TicketUse::kPossible), now);
+  const auto askable = FindAskable(state, now, ready);
   const bool is_first = StepOf(ready).m_advice.empty();
   auto workers = is_first ? askable.m_unknown : askable.m_allowed;
   const auto& full = is_first ? askable.m_unknown_full : askable.m_allowed_full;
@@ -99,23 +98,13 @@
   Ask(state, ready, workers);
 }
 
-/// Returns the step that the call was about, or null when it is no longer open.
-StepState* FindStep(Coordinator& state, const TaskRef& step) {
-  Job* const job = FindJob(state, step.m_job);
-  if (job == nullptr) return nullptr;
-  const auto occurrence = job->m_occurrences.find(step.m_occurrence);
-  if (occurrence == job->m_occurrences.end()) return nullptr;
-  return &occurrence->second.m_steps[step.m_step];
-}
-
 }  // namespace
 
 bool HasTicket(const ReadyStep& ready, const Time now) {
   if (!ready.m_job->m_spec.m_policy.m_advised) return true;
   const auto& advice = StepOf(ready).m_advice;
-  return std::any_of(advice.begin(), advice.end(), [now](const auto& worker) {
-    return worker.second.m_allowed && now < worker.second.m_until;
-  });
+  return std::any_of(advice.begin(), advice.end(),
+                     [now](const auto& worker) { return IsTicketValid(worker.second, now); });
 }
 
 void RequestAdvice(Coordinator& state, const Time now, const std::vector<ReadyStep>& ready) {
@@ -124,9 +113,9 @@
   for (const auto& step : ready) {
     if (!IsAdvisedStep(step)) continue;
     if (!HasTicket(step, now)) ++state.m_unadvised_steps;
-    if (!StepOf(step).m_advice_asked) steps.push_back(&step);
+    if (!IsOpen(state.m_advice_calls, RefOf(step, 0))) steps.push_back(&step);
   }
-  if (steps.empty() || !MayBegin(state.m_advice_calls, now)) return;
+  if (!MayBegin(state.m_advice_calls, now)) return;
   // A step about which calls fail must not hold up the others.
   std::stable_sort(steps.begin(), steps.end(), [](const ReadyStep* a, const ReadyStep* b) {
     return StepOf(*a).m_advice_failures < StepOf(*b).m_advice_failures;
@@ -149,7 +138,6 @@
   ++state.m_counters.m_advice_answers;
   StepState* const step = FindStep(state, call->m_step);
   if (step == nullptr) return;
-  step->m_advice_asked = false;
   step->m_advice_failures = 0;
   step->m_blocked_until = {};
   for (const auto& [worker, born] : call->m_workers) {
@@ -177,9 +165,7 @@
   if (!call) return;
   ++state.m_counters.m_advice_failures;
   StepState* const step = FindStep(state, call->m_step);
-  if (step == nullptr) return;
-  step->m_advice_asked = false;
-  ++step->m_advice_failures;
+  if (step != nullptr) ++step->m_advice_failures;
 }
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -19,10 +19,16 @@
 /// Returns the state of the ready step.
 [[nodiscard]] StepState& StepOf(const ReadyStep& ready);
 
+[[nodiscard]] TaskRef RefOf(const ReadyStep& ready, std::uint32_t index);
+
 /// Describes the task with this index for the choice of its worker.
 [[nodiscard]] TaskNeed NeedOf(const Coordinator& state, const ReadyStep& ready, std::uint32_t index,
                               TicketUse tickets);
 
+/// Describes a placed task for the search of a better worker. A worker that may run the task counts
+/// without a valid ticket, which is asked for before the next start.
+[[nodiscard]] TaskNeed NeedToMove(const Coordinator& state, const TaskRef& ref);
+
 /// Returns whether tasks of the step could start now on workers with the given kind of ticket.
 [[nodiscard]] bool CouldStart(Coordinator& state, Time now, const ReadyStep& ready,
                               TicketUse tickets);
@@ -37,6 +43,9 @@
 /// Ends the use of the step's ticket for the agent's worker, which may have refused it.
 void ExpireTicket(Coordinator& state, const TaskRef& ref, const AgentId& agent);
 
+/// Returns the step of the task, or null when its job, occurrence or step is not open.
+[[nodiscard]] StepState* FindStep(Coordinator& state, const TaskRef& ref) noexcept;
+
 /// Returns the task, or null when its job, occurrence or step is not open.
 [[nodiscard]] Task* FindTask(Coordinator& state, const TaskRef& ref) noexcept;
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -171,15 +171,20 @@
   return found == state.m_jobs.end() ? nullptr : &found->second;
 }
 
-Task* FindTask(Coordinator& state, const TaskRef& ref) noexcept {
+StepState* FindStep(Coordinator& state, const TaskRef& ref) noexcept {
   Job* const job = FindJob(state, ref.m_job);
   if (job == nullptr) return nullptr;
   const auto found = job->m_occurrences.find(ref.m_occurrence);
   if (found == job->m_occurrences.end() || ref.m_step >= found->second.m_steps.size()) {
     return nullptr;
   }
-  auto& tasks = found->second.m_steps[ref.m_step].m_tasks;
-  return ref.m_index < tasks.size() ? &tasks[ref.m_index] : nullptr;
+  return &found->second.m_steps[ref.m_step];
+}
+
+Task* FindTask(Coordinator& state, const TaskRef& ref) noexcept {
+  StepState* const step = FindStep(state, ref);
+  return step != nullptr && ref.m_index < step->m_tasks.size() ? &step->m_tasks[ref.m_index]
+                                                               : nullptr;
 }
 
 void OpenOccurrence(Job& job, const std::uint32_t number) {
--- a/packages/core/src/fleet/coordinator_plan.cc
+++ b/packages/core/src/fleet/coordinator_plan.cc
@@ -171,13 +171,6 @@
   return std::max(last, (state.m_epoch - 1) * kRunsPerEpoch) + 1;
 }
 
-TaskRef RefOf(const ReadyStep& ready, const std::uint32_t index) {
-  return {.m_job = ready.m_job->m_spec.m_id,
-          .m_occurrence = ready.m_occurrence,
-          .m_step = ready.m_step,
-          .m_index = index};
-}
-
 /// Returns whether the task waits for nothing but a worker.
 bool MayStart(const Coordinator& state, const Time now, const TaskRef& ref, const Task& task) {
   return task.m_phase == TaskPhase::kWaiting && task.m_not_before <= now &&
@@ -276,6 +269,13 @@
   return ready.m_job->m_occurrences.at(ready.m_occurrence).m_steps[ready.m_step];
 }
 
+TaskRef RefOf(const ReadyStep& ready, const std::uint32_t index) {
+  return {.m_job = ready.m_job->m_spec.m_id,
+          .m_occurrence = ready.m_occurrence,
+          .m_step = ready.m_step,
+          .m_index = index};
+}
+
 TaskNeed NeedOf(const Coordinator& state, const ReadyStep& ready, const std::uint32_t index,
                 const TicketUse tickets) {
   const StepState& step = StepOf(ready);
@@ -288,10 +288,21 @@
           .m_tickets = tickets};
 }
 
+TaskNeed NeedToMove(const Coordinator& state, const TaskRef& ref) {
+  const Job& job = state.m_jobs.at(ref.m_job);
+  const StepState& step = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step];
+  return {.m_state = state,
+          .m_job = job,
+          .m_spec = job.m_spec.m_steps[ref.m_step],
+          .m_step = step,
+          .m_ref = ref,
+          .m_task = step.m_tasks[ref.m_index],
+          .m_tickets = TicketUse::kAllowed};
+}
+
 bool CouldStart(Coordinator& state, const Time now, const ReadyStep& ready,
                 const TicketUse tickets) {
-  const TaskRef step = RefOf(ready, 0);
-  if (ready.m_job->m_spec.m_steps[step.m_step].m_gang) {
+  if (ready.m_job->m_spec.m_steps[ready.m_step].m_gang) {
     PassedOver passed_over;
     return !ReserveGang(state, now, ready, tickets, passed_over).empty();
   }
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -101,16 +101,8 @@
   if (now - std::max(task.m_slow_since, task.m_placed) < options.m_move_after) return;
   if (now - task.m_placement_checked < options.m_placement_check_interval) return;
   task.m_placement_checked = now;
-  const Job& job = state.m_jobs.at(ref.m_job);
-  const StepSpec& spec = job.m_spec.m_steps[ref.m_step];
-  if (!spec.m_checkpointing && task.m_percent > options.m_movable_percent) return;
-  const TaskNeed need{.m_state = state,
-                      .m_job = job,
-                      .m_spec = spec,
-                      .m_step = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step],
-                      .m_ref = ref,
-                      .m_task = task,
-                      .m_tickets = TicketUse::kAllowed};
+  const TaskNeed need = NeedToMove(state, ref);
+  if (!need.m_spec.m_checkpointing && task.m_percent > options.m_movable_percent) return;
   if (!HasBetterWorker(state, need, agent, now)) return;
   OrderStop(state, ref, task, "slow here, and a better place is free");
 }
--- a/packages/core/src/fleet/serving_moves.cc
+++ b/packages/core/src/fleet/serving_moves.cc
@@ -66,21 +66,9 @@
   return mix;
 }
 
-TaskNeed NeedOf(const Coordinator& state, const TaskRef& ref) {
-  const Job& job = state.m_jobs.at(ref.m_job);
-  const StepState& step = job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step];
-  return {.m_state = state,
-          .m_job = job,
-          .m_spec = job.m_spec.m_steps[ref.m_step],
-          .m_step = step,
-          .m_ref = ref,
-          .m_task = step.m_tasks[ref.m_index],
-          .m_tickets = TicketUse::kAllowed};
-}
-
 /// Returns whether a stop would leave all other tasks of the step at work.
 bool MayMove(const Coordinator& state, const Time now, const TaskRef& ref) {
-  const TaskNeed need = NeedOf(state, ref);
+  const TaskNeed need = NeedToMove(state, ref);
   if (need.m_job.m_closed) return false;
   if (now - need.m_task.m_placed < state.m_options.m_min_serving_stay) return false;
   const auto& tasks = need.m_step.m_tasks;
@@ -98,7 +86,7 @@
 /// Returns the least room that another worker with capacity would lose by the task.
 std::optional<double> LeastRoomLost(const Coordinator& state, const Time now, const TaskRef& ref,
                                     const Source& from, const std::vector<ServingMix>& mixes) {
-  const TaskNeed need = NeedOf(state, ref);
+  const TaskNeed need = NeedToMove(state, ref);
   std::optional<double> least;
   for (const auto& mix : mixes) {
     const Agent& agent = *mix.m_agent;
@@ -116,7 +104,7 @@
 /// Returns whether the task fits on the worker once `leaving` has left it.
 bool FitsInPlaceOf(const Coordinator& state, const TaskRef& ref, const Agent& agent,
                    const TaskRef& leaving) {
-  const TaskNeed need = NeedOf(state, ref);
+  const TaskNeed need = NeedToMove(state, ref);
   if (!IsEligible(need, agent)) return false;
   const auto room =
       agent.m_worker.m_capacity - agent.m_used + agent.m_placed_runs.at(leaving).m_size;
--- a/packages/core/src/fleet/worker_choice.cc
+++ b/packages/core/src/fleet/worker_choice.cc
@@ -195,11 +195,14 @@
   return &advice->second;
 }
 
+bool IsTicketValid(const WorkerAdvice& advice, const Time now) noexcept {
+  return advice.m_allowed && now < advice.m_until;
+}
+
 const std::string* FindTicket(const StepState& step, const WorkerInfo& worker,
                               const Time now) noexcept {
   const auto* const advice = FindAdvice(step, worker);
-  const bool valid = advice != nullptr && advice->m_allowed && now < advice->m_until;
-  return valid ? &advice->m_ticket : nullptr;
+  return advice != nullptr && IsTicketValid(*advice, now) ? &advice->m_ticket : nullptr;
 }
 
 bool IsAdvised(const TaskNeed& need, const Agent& agent, const Time now) noexcept {
--- a/packages/core/tests/fleet/advice_burst_test.cc
+++ b/packages/core/tests/fleet/advice_burst_test.cc
@@ -94,10 +94,7 @@
   void AStepThatCannotStartYetDoesNotHoldUpOthers() {
     AdviceSite site(kWorkers, kWorkers, {});
     for (int i = 0; i < 40; ++i) {
-      auto job = MakeJob("gang" + std::to_string(i), 4);
-      job.m_policy.m_advised = true;
-      job.m_policy.m_advice_call_time = site.m_service.m_call_time;
-      job.m_policy.m_advice_worker_time = site.m_service.m_worker_time;
+      auto job = site.MakeAdvisedJob("gang" + std::to_string(i), 4);
       job.m_steps[0].m_gang = true;
       job.m_steps[0].m_size.m_cpu_millis = 3800;
       job.m_steps[0].m_max_per_worker = 1;
--- a/packages/core/tests/fleet/advice_site.cc
+++ b/packages/core/tests/fleet/advice_site.cc
@@ -26,13 +26,18 @@
   }
 }
 
-std::string AdviceSite::Submit(const AdvisedWork& work, const std::uint32_t priority) {
-  auto id = "j" + std::to_string(1000 + m_submitted++);
-  auto job = MakeJob(id, work.m_tasks);
-  job.m_policy.m_priority = priority;
+JobSpec AdviceSite::MakeAdvisedJob(const std::string& id, const std::uint32_t tasks) const {
+  auto job = MakeJob(id, tasks);
   job.m_policy.m_advised = true;
   job.m_policy.m_advice_call_time = m_service.m_call_time;
   job.m_policy.m_advice_worker_time = m_service.m_worker_time;
+  return job;
+}
+
+std::string AdviceSite::Submit(const AdvisedWork& work, const std::uint32_t priority) {
+  auto id = "j" + std::to_string(1000 + m_submitted++);
+  auto job = MakeAdvisedJob(id, work.m_tasks);
+  job.m_policy.m_priority = priority;
   job.m_steps[0].m_size.m_cpu_millis = 500;
   job.m_steps[0].m_estimate = work.m_run_time;
   for (std::uint32_t step = 1; step < work.m_steps; ++step) {
--- a/packages/core/tests/fleet/advice_site.h
+++ b/packages/core/tests/fleet/advice_site.h
@@ -40,6 +40,9 @@
   Site m_site;
   AdviceService m_service;
 
+  /// Returns a job of the advised queue; see MakeJob.
+  [[nodiscard]] JobSpec MakeAdvisedJob(const std::string& id, std::uint32_t tasks) const;
+
   /// Submits a job of the advised queue and returns its id.
   std::string Submit(const AdvisedWork& work, std::uint32_t priority = 0);
 
--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -115,17 +115,17 @@
   return Call(entry, "GET", "/renders/" + id).Text(standin::kUsersJobState);
 }
 
-int FleetSite::Starts() const {
+int FleetSite::WorkerCount(const std::string& counter) const {
   std::vector<std::string> texts;
   for (const auto& at : m_agent_addresses) texts.push_back(GetText(at.m_worker, "/sim"));
-  return SumOf(texts, "starts");
+  return SumOf(texts, counter);
 }
 
-int FleetSite::Running() const {
-  std::vector<std::string> texts;
-  for (const auto& at : m_agent_addresses) texts.push_back(GetText(at.m_worker, "/sim"));
-  return SumOf(texts, "running");
-}
+int FleetSite::Starts() const { return WorkerCount("starts"); }
+
+int FleetSite::Running() const { return WorkerCount("running"); }
+
+int FleetSite::RefusedTickets() const { return WorkerCount("refused_tickets"); }
 
 void FleetSite::SetStoreFaults(const std::string& json) const {
   (void)SendHttp(m_store_address, "POST", "/faults", json);
@@ -173,12 +173,6 @@
   return SumOf({GetText(m_advice_address, "/sim")}, counter);
 }
 
-int FleetSite::RefusedTickets() const {
-  std::vector<std::string> texts;
-  for (const auto& at : m_agent_addresses) texts.push_back(GetText(at.m_worker, "/sim"));
-  return SumOf(texts, "refused_tickets");
-}
-
 void FleetSite::SetEvacuation(const std::string& domain, const bool requested) const {
   PutRecord(platform::GetPlatformPlugin()->m_config_topic,
             platform::GetPlatformPlugin()->m_evacuation_prefix + domain, requested ? "{}" : "");
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -84,6 +84,9 @@
     std::string m_worker;
   };
 
+  /// Returns the sum of a counter of all workers.
+  [[nodiscard]] int WorkerCount(const std::string& counter) const;
+
   std::string m_store_address;
   std::vector<EntryAddresses> m_entry_addresses;
   std::vector<AgentAddresses> m_agent_addresses;
--- a/packages/standin/src/advice/advice_standin.cc
+++ b/packages/standin/src/advice/advice_standin.cc
@@ -16,8 +16,8 @@
 #include <thread>
 
 #include "ebonypin/standin/standin.h"
-#include "ebonypin/standin/ticket.h"
 #include "read_body.h"
+#include "ticket.h"
 
 DEFINE_int64(advice_decide_ms, 100, "advice: time for a call");
 DEFINE_int64(advice_period_ms, 10, "advice: time for each worker that a call names");
--- a/packages/standin/src/advice/ticket.cc
+++ b/packages/standin/src/advice/ticket.cc
@@ -1,4 +1,4 @@
-#include "ebonypin/standin/ticket.h"
+#include "ticket.h"
 
 #include <cstdint>
 
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -18,8 +18,8 @@
 #include <mutex>
 #include <thread>
 
+#include "advice/ticket.h"
 #include "ebonypin/standin/standin.h"
-#include "ebonypin/standin/ticket.h"
 #include "read_body.h"
 #include "run_worker_sim.h"
 
