Let a stand-in whose address is taken be destroyed

A stand-in that cannot open its listener throws, and its destructor then ended the process: closing a listener that was never opened returns a task without a state, and waiting for it throws. So nothing told that the address is in use; ebonypin_standin ended with SIGABRT in place of its exit code 3. All five stand-ins had this.

Seen in FleetAdviceTest, whose advice stand-in opens its address late: 1 of 72 runs, six beside each other, ended with exit code 134 ("wait() cannot be called on a default constructed task"), and one run alone ended without a result, exit code not kept.

All kinds of ebonypin_standin exit with 3 at an address in use.

--- a/packages/standin/src/advice/advice_standin.cc
+++ b/packages/standin/src/advice/advice_standin.cc
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <thread>
 
+#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
 #include "read_body.h"
 #include "ticket.h"
@@ -45,7 +46,7 @@
     }
     m_changed.notify_all();
     if (m_handler.joinable()) m_handler.join();
-    m_listener.close().wait();
+    CloseListener(m_listener);
     m_gate->Close();
   }
 
--- a/packages/standin/src/log/log_standin.cc
+++ b/packages/standin/src/log/log_standin.cc
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <thread>
 
+#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
 #include "read_body.h"
 #include "stream_store.h"
@@ -97,7 +98,7 @@
     }
     m_wake.notify_all();
     if (m_timer.joinable()) m_timer.join();
-    m_listener.close().wait();
+    CloseListener(m_listener);
     m_gate->Close();
   }
 
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -19,6 +19,7 @@
 #include <thread>
 
 #include "advice/ticket.h"
+#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
 #include "read_body.h"
 #include "run_worker_sim.h"
@@ -67,7 +68,7 @@
     }
     if (m_beats.joinable()) m_beats.join();
     if (m_ticks.joinable()) m_ticks.join();
-    m_listener.close().wait();
+    CloseListener(m_listener);
     m_gate->Close();
   }
 
--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -19,6 +19,7 @@
 #include <thread>
 #include <utility>
 
+#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
 #include "keyed_log.h"
 #include "read_body.h"
@@ -82,7 +83,7 @@
       m_stopping = true;
     }
     if (m_reader.joinable()) m_reader.join();
-    m_listener.close().wait();
+    CloseListener(m_listener);
     m_gate->Close();
   }
 
--- a/packages/standin/src/worker/worker_server.cc
+++ b/packages/standin/src/worker/worker_server.cc
@@ -6,6 +6,7 @@
 #include <exception>
 #include <utility>
 
+#include "close_listener.h"
 #include "read_body.h"
 #include "worker_json.h"
 
@@ -77,7 +78,7 @@
   m_changed.notify_all();
   if (m_thread.joinable()) m_thread.join();
   for (const auto& request : open) Send(request, http_response(status_codes::ServiceUnavailable));
-  m_listener.close().wait();
+  CloseListener(m_listener);
   m_gate->Close();
 }
 
