Let the RPC server go on accepting after a failed accept

A failed accept, as when the descriptors are used up, rejected the promise that accepts connections, and the server never accepted again. It now pauses for 100 ms, accepts again and counts the failure (ebonypin_rpc_accept_failures_total).

The new tests were not yet run against the former code.

--- a/packages/daemon/src/rpc_metrics.cc
+++ b/packages/daemon/src/rpc_metrics.cc
@@ -16,6 +16,9 @@
                              "Connections replaced after a timeout.", counters.m_reconnects));
   out.push_back(SingleMetric("ebonypin_rpc_served_total", "Calls served for other processes.",
                              counters.m_served));
+  out.push_back(SingleMetric("ebonypin_rpc_accept_failures_total",
+                             "Connections that could not be accepted.",
+                             counters.m_accept_failures));
   out.push_back(SingleMetric("ebonypin_rpc_sent_bytes_total",
                              "Bytes sent on RPC connections, without TCP and IP headers.",
                              counters.m_bytes_sent));
--- a/packages/wire/src/rpc.cc
+++ b/packages/wire/src/rpc.cc
@@ -34,6 +34,9 @@
 /// Time limit for the set-up of a TCP connection; the deadline of the call may be earlier.
 constexpr auto kConnectTimeout = 1 * kj::SECONDS;
 
+/// Pause after a failed accept, which is repeated since descriptors may have become free.
+constexpr auto kAcceptPause = 100 * kj::MILLISECONDS;
+
 /// Queue of functions that other threads post to the event loop thread, which a pipe wakes up.
 class TaskQueue {
  public:
@@ -140,6 +143,7 @@
             .m_disconnects = m_disconnects,
             .m_reconnects = m_reconnects,
             .m_served = m_served,
+            .m_accept_failures = m_accept_failures,
             .m_bytes_sent = m_bytes.m_sent,
             .m_bytes_received = m_bytes.m_received};
   }
@@ -213,18 +217,33 @@
   }
 
   kj::Promise<void> Accept(kj::ConnectionReceiver& listener) {
-    return listener.accept().then([this, &listener](kj::Own<kj::AsyncIoStream>&& accepted) {
-      kj::Own<kj::AsyncIoStream> stream = kj::heap<CountingStream>(kj::mv(accepted), m_bytes);
-      auto network = kj::heap<capnp::TwoPartyVatNetwork>(
-          *stream, capnp::rpc::twoparty::Side::SERVER, kReaderOptions);
-      auto system = kj::heap(
-          capnp::makeRpcServer(*network, schema::Peer::Client(kj::heap<PeerServer>(*this))));
-      auto closed = network->onDisconnect();
-      // Chained attachments are destroyed in the order in which they are attached. The RPC system
-      // uses the network in its destructor, so it must be destroyed first.
-      m_tasks->add(closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream)));
-      return Accept(listener);
-    });
+    return listener.accept().then(
+        [this, &listener](kj::Own<kj::AsyncIoStream>&& accepted) {
+          if (m_open < m_options.m_max_connections) ServeConnection(kj::mv(accepted));
+          return Accept(listener);
+        },
+        [this, &listener](kj::Exception&& /*exception*/) {
+          ++m_accept_failures;
+          return m_io->provider->getTimer().afterDelay(kAcceptPause).then([this, &listener] {
+            return Accept(listener);
+          });
+        });
+  }
+
+  void ServeConnection(kj::Own<kj::AsyncIoStream> accepted) {
+    ++m_open;
+    kj::Own<kj::AsyncIoStream> stream = kj::heap<CountingStream>(kj::mv(accepted), m_bytes);
+    auto network = kj::heap<capnp::TwoPartyVatNetwork>(*stream, capnp::rpc::twoparty::Side::SERVER,
+                                                       kReaderOptions);
+    auto system =
+        kj::heap(capnp::makeRpcServer(*network, schema::Peer::Client(kj::heap<PeerServer>(*this))));
+    auto closed = network->onDisconnect();
+    // Chained attachments are destroyed in the order in which they are attached. The RPC system
+    // uses the network in its destructor, so it must be destroyed first.
+    m_tasks->add(closed.attach(kj::mv(system))
+                     .attach(kj::mv(network))
+                     .attach(kj::mv(stream))
+                     .attach(kj::defer([this] { --m_open; })));
   }
 
   kj::Promise<void> DrainQueue(kj::AsyncInputStream& wake) {
@@ -339,6 +358,7 @@
   std::atomic<std::uint64_t> m_disconnects{0};
   std::atomic<std::uint64_t> m_reconnects{0};
   std::atomic<std::uint64_t> m_served{0};
+  std::atomic<std::uint64_t> m_accept_failures{0};
   std::atomic<std::size_t> m_in_flight{0};
   ByteCounters m_bytes;
 
@@ -349,6 +369,7 @@
   std::unordered_map<std::string, kj::Own<Connection>> m_connections;
   std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<core::Message>>> m_pending;
   std::uint64_t m_last_pending = 0;
+  std::size_t m_open = 0;  ///< Incoming connections.
   char m_wake_buffer[64] = {};
 };
 
--- a/packages/wire/tests/rpc_test.cc
+++ b/packages/wire/tests/rpc_test.cc
@@ -1,6 +1,10 @@
 #include "ebonypin/wire/rpc.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <future>
@@ -31,6 +35,8 @@
   CPPUNIT_TEST(CallsBeyondTheLimitAreRefusedAsNotSent);
   CPPUNIT_TEST(AServerStopsWhileAClientIsStillConnected);
   CPPUNIT_TEST(BothEndsCountTheSameBytes);
+  CPPUNIT_TEST(AServerGoesOnAcceptingAfterDescriptorsWereUsedUp);
+  CPPUNIT_TEST(ConnectionsBeyondTheLimitAreClosed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -134,6 +140,59 @@
     CPPUNIT_ASSERT_EQUAL(server.Counters().m_bytes_sent, client.Counters().m_bytes_received);
     CPPUNIT_ASSERT(server.Counters().m_bytes_received > 1000);
   }
+
+  /// Guards against a failed accept that ends the server for good.
+  void AServerGoesOnAcceptingAfterDescriptorsWereUsedUp() {
+    Rpc server = Answering({});
+    Rpc client({});
+    const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    rlimit usual{};
+    CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &usual));
+    const int first_free = dup(waiting);
+    close(first_free);
+    const rlimit none{.rlim_cur = static_cast<rlim_t>(first_free), .rlim_max = usual.rlim_max};
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &none));
+    const int connected = Connect(waiting, server);
+    const auto until = std::chrono::steady_clock::now() + 10s;
+    while (server.Counters().m_accept_failures == 0 && std::chrono::steady_clock::now() < until) {
+      std::this_thread::yield();
+    }
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &usual));
+    CPPUNIT_ASSERT_EQUAL(0, connected);
+    CPPUNIT_ASSERT(server.Counters().m_accept_failures > 0);
+    const auto result = CallAndWait(client, AddressOf(server), core::CancelRequest{}, 10s);
+    CPPUNIT_ASSERT(result.GetError() == nullptr);
+    close(waiting);
+  }
+
+  /// Guards against connections that use up the descriptors of the process.
+  void ConnectionsBeyondTheLimitAreClosed() {
+    Rpc server = Answering({.m_max_connections = 1});
+    Rpc first({});
+    CPPUNIT_ASSERT(CallAndWait(first, AddressOf(server), core::CancelRequest{}, 10s).GetError() ==
+                   nullptr);
+    Rpc second({});
+    CPPUNIT_ASSERT(CallAndWait(second, AddressOf(server), core::CancelRequest{}, 10s).GetError() !=
+                   nullptr);
+    CPPUNIT_ASSERT(CallAndWait(first, AddressOf(server), core::CancelRequest{}, 10s).GetError() ==
+                   nullptr);
+  }
+
+ private:
+  static Rpc Answering(RpcOptions options) {
+    options.m_listen_ip = "127.0.0.1";
+    options.m_handler = [](const core::Message&, const ReplyFunction& reply) {
+      reply(core::CancelReply{});
+    };
+    return Rpc(std::move(options));
+  }
+
+  static int Connect(const int descriptor, const Rpc& server) {
+    const sockaddr_in address{.sin_family = AF_INET,
+                              .sin_port = htons(server.Port()),
+                              .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+    return connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RpcTest);
