Add the settings of the HTTP listeners' limits

Section [limits]: memory and descriptors of the machine, and the limits of heads, bodies, times, connections and buffers. The number of connections and the buffered bytes follow from memory and descriptors unless they are set: 1,280 connections and 20 MiB at 160 MB and 4,100 descriptors. The test that quotes the list of sections names the new one. The table of queues holds the limits of the operators' configuration.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -55,6 +55,18 @@
   // [policy]
   std::string m_policy = "ebonypin";  ///< "ebonypin" or "naive".
 
+  // [limits], for the HTTP listeners of this process
+  std::uint32_t m_memory_mb = 160;  ///< Of the machine.
+  std::uint32_t m_descriptors = 4096;
+  std::uint32_t m_max_head_bytes = 16'384;
+  std::uint32_t m_max_body_bytes = 0;  ///< 0: the default of each listener.
+  core::Duration m_head_timeout = std::chrono::seconds{3};
+  core::Duration m_idle_timeout = std::chrono::seconds{15};
+  core::Duration m_body_timeout = std::chrono::seconds{30};
+  core::Duration m_write_timeout = std::chrono::seconds{30};
+  std::uint32_t m_max_connections = 0;  ///< Of one listener; 0: derived, see listener_share.h.
+  std::uint32_t m_max_buffered_mb = 0;  ///< Of one listener; 0: derived.
+
   friend bool operator==(const Settings&, const Settings&) = default;
 };
 
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -137,6 +137,16 @@
           }};
 }
 
+ValueFormat MemoryUpTo(std::uint32_t Settings::*member, const std::int64_t max) {
+  return {fmt::format("{}, from 1MB to {}GB", kMemoryFormat, max / 1024),
+          [=](Settings& settings, const std::string& value) {
+            const auto parsed = ParseMemory(value);
+            if (!parsed || *parsed < 1 || *parsed > max) return false;
+            settings.*member = static_cast<std::uint32_t>(*parsed);
+            return true;
+          }};
+}
+
 struct KeyOptions {
   RequiredBy m_required = RequiredBy::kNoRole;
   std::string m_default;
@@ -245,6 +255,44 @@
           "Connections that the worker's endpoint accepts."),
       Key("policy", "name", OneOf(&S::m_policy, {"ebonypin", "naive"}), {.m_default = "ebonypin"},
           "Scheduling policy; naive is the baseline of the benchmark."),
+      Key("limits", "memory", MemoryUpTo(&S::m_memory_mb, kMaxMemoryMb), {.m_default = "160MB"},
+          "Memory of the machine, from which `buffered` and `connections` are derived."),
+      Key("limits", "descriptors", CountBetween(&S::m_descriptors, 256, 1'048'576),
+          {.m_default = "4096"},
+          "Descriptors that the machine allows this process, from which `connections` is "
+          "derived."),
+      Key("limits", "head_bytes", CountBetween(&S::m_max_head_bytes, 256, 1'048'576),
+          {.m_default = "16384"},
+          "Largest request line with headers, and largest sum of chunk headers and trailers, in "
+          "bytes; larger ones get 431. `MaxHeaderBytes` of the configuration replaces it at the "
+          "job API."),
+      Key("limits", "body_bytes", CountBetween(&S::m_max_body_bytes, 256, 4'194'304),
+          {.m_example = "262144"},
+          "Largest request body in bytes; larger ones get 413. When unset, 262144 at the job API, "
+          "524288 at the API of an entry and 4194304 at `control`; when set, these are reduced to "
+          "it. `MaxBodyBytes` of the configuration replaces it at the job API."),
+      Key("limits", "head_timeout", DurationBetween(&S::m_head_timeout, 10ms, 1h),
+          {.m_default = "3s"},
+          "Longest time to receive a request line with headers. `HeaderTimeoutMs` of the "
+          "configuration replaces it at the job API."),
+      Key("limits", "idle_timeout", DurationBetween(&S::m_idle_timeout, 10ms, 1h),
+          {.m_default = "15s"},
+          "Time after which a connection without a request is closed. `IdleTimeoutMs` of the "
+          "configuration replaces it at the job API."),
+      Key("limits", "body_timeout", DurationBetween(&S::m_body_timeout, 10ms, 1h),
+          {.m_default = "30s"}, "Longest time to receive a body."),
+      Key("limits", "write_timeout", DurationBetween(&S::m_write_timeout, 10ms, 1h),
+          {.m_default = "30s"}, "Longest time for a client to take a response."),
+      Key("limits", "connections", CountBetween(&S::m_max_connections, 1, 1'048'576),
+          {.m_example = "1024"},
+          "Connections of an HTTP listener. When unset, the API gets the smaller of a quarter of "
+          "`memory` in pieces of 32 KiB and half of the `descriptors` above 200, at least 16; "
+          "`readiness` and `control` get 64, or this value when it is smaller."),
+      Key("limits", "buffered", MemoryUpTo(&S::m_max_buffered_mb, kMaxMemoryMb),
+          {.m_example = "16MB"},
+          "Memory for heads, bodies and requests in progress of an HTTP listener. When unset, the "
+          "API gets an eighth of `memory`, `readiness` 1 MiB and `control` 9 MiB, or this value "
+          "when it is smaller; each at least two requests of the largest size."),
   };
 }
 
--- a/packages/config/tests/settings_test.cc
+++ b/packages/config/tests/settings_test.cc
@@ -34,6 +34,17 @@
 cpu_millis = 16000
 memory = 60GB
 accelerators = 2
+[limits]
+memory = 128MB
+descriptors = 4100
+head_bytes = 8192
+body_bytes = 4096
+head_timeout = 1s
+idle_timeout = 2s
+body_timeout = 4s
+write_timeout = 5s
+connections = 32
+buffered = 2MB
 )";
 
 std::string Replaced(std::string text, const std::string& from, const std::string& to) {
@@ -79,15 +90,25 @@
                                                .m_log_timeout = 200ms}));
     const auto agent = core::Capture([] { return ParseSettings(kAgentText, "f.ini"); });
     CPPUNIT_ASSERT(agent.Ok());
-    CPPUNIT_ASSERT(*agent.m_value == (Settings{.m_role = "agent",
-                                               .m_id = "agent-1",
-                                               .m_domain = "rack-1",
-                                               .m_rpc_address = "127.0.0.1:7201",
-                                               .m_seeds = {"127.0.0.1:7101", "127.0.0.1:7102"},
-                                               .m_worker_url = "http://127.0.0.1:7301",
-                                               .m_capacity = {.m_cpu_millis = 16000,
-                                                              .m_memory_mb = 61440,
-                                                              .m_accelerators = 2}}));
+    CPPUNIT_ASSERT(
+        *agent.m_value ==
+        (Settings{.m_role = "agent",
+                  .m_id = "agent-1",
+                  .m_domain = "rack-1",
+                  .m_rpc_address = "127.0.0.1:7201",
+                  .m_seeds = {"127.0.0.1:7101", "127.0.0.1:7102"},
+                  .m_worker_url = "http://127.0.0.1:7301",
+                  .m_capacity = {.m_cpu_millis = 16000, .m_memory_mb = 61440, .m_accelerators = 2},
+                  .m_memory_mb = 128,
+                  .m_descriptors = 4100,
+                  .m_max_head_bytes = 8192,
+                  .m_max_body_bytes = 4096,
+                  .m_head_timeout = 1s,
+                  .m_idle_timeout = 2s,
+                  .m_body_timeout = 4s,
+                  .m_write_timeout = 5s,
+                  .m_max_connections = 32,
+                  .m_max_buffered_mb = 2}));
   }
 
   /// Guards against a file that overrides the command line, and against unchecked flags.
@@ -110,7 +131,8 @@
     AssertStarts("f.ini:8: unknown section [logs]; use one of [process], [log], [store]",
                  FaultsOf(Replaced(kEntryText, "[log]", "[logs]")));
     CPPUNIT_ASSERT_EQUAL(std::string{"f.ini:11: unknown section [extra]; use one of [process], "
-                                     "[log], [store], [advice], [machines], [worker], [policy]"},
+                                     "[log], [store], [advice], [machines], [worker], [policy], "
+                                     "[limits]"},
                          FaultsOf(kEntryText + "[extra]\n"));
     AssertStarts("f.ini:6: unknown key 'rcp' in [process]; use one of role, id,",
                  FaultsOf(Replaced(kEntryText, "rpc =", "rcp =")));
@@ -157,6 +179,9 @@
         {"200ms", "200ms\n[worker]\nmemory = 64"},
         {"200ms", "200ms\n[worker]\nmemory = 0MB"},
         {"200ms", "200ms\n[worker]\nslots = 4294967297"},
+        {"200ms", "200ms\n[limits]\nmemory = 160"},
+        {"200ms", "200ms\n[limits]\nbody_bytes = 4194305"},
+        {"200ms", "200ms\n[limits]\nhead_timeout = 0s"},
         {"rpc = 127", "seeds = 127.0.0.1:7101,\nrpc = 127"},
     };
     for (const auto& [from, to] : cases)
--- a/packages/core/include/ebonypin/core/fleet/queue_table.h
+++ b/packages/core/include/ebonypin/core/fleet/queue_table.h
@@ -24,7 +24,11 @@
 struct QueueTable {
   std::uint64_t m_version = 0;
   std::vector<QueueRoute> m_routes;
+  // Limits of callers' requests; zero when the configuration does not give them.
+  std::uint64_t m_max_head_bytes = 0;
   std::uint64_t m_max_body_bytes = 0;
+  Duration m_head_timeout{};
+  Duration m_idle_timeout{};
 
   friend bool operator==(const QueueTable&, const QueueTable&) = default;
 };
