Serve HTTP through the bounded server

The job API, readiness and control listeners and the API of the role entry move from the listener of cpprestsdk, which has no limits, to ebonypin::http::Server. Limits come from the settings, and at the job API from the Limits of the configuration. E633 and metrics report closed connections.

--- a/packages/daemon/src/entry/entry_metrics.cc
+++ b/packages/daemon/src/entry/entry_metrics.cc
@@ -37,6 +37,24 @@
                              http.m_in_progress.load()));
 }
 
+void AddConnectionMetrics(const EntryParts& parts, std::vector<Metric>& out) {
+  const auto connections = parts.m_http.ConnectionCounters();
+  out.push_back(SingleMetric("ebonypin_http_connections", "Open connections of the HTTP API.",
+                             connections.m_open));
+  out.push_back(SingleMetric("ebonypin_http_connections_total",
+                             "Connections that the HTTP API accepted.", connections.m_accepted));
+  out.push_back(SingleMetric("ebonypin_http_buffered_bytes",
+                             "Heads, bodies and requests in progress, in bytes.",
+                             connections.m_buffered_bytes));
+  Metric closed{.m_name = "ebonypin_http_closed_total",
+                .m_help = "Connections closed by a limit, by reason."};
+  for (const auto& [reason, count] : connections.m_closed) {
+    closed.m_samples.push_back(
+        {.m_labels = {{"reason", reason}}, .m_value = static_cast<double>(count)});
+  }
+  out.push_back(std::move(closed));
+}
+
 void AddDispatchMetrics(const EntryParts& parts, std::vector<Metric>& out) {
   const auto counters = parts.m_requests.Counters();
   const auto& dispatch = counters.m_dispatch;
@@ -119,6 +137,7 @@
                                      const wire::Rpc& rpc) {
   std::vector<Metric> out;
   AddHttpMetrics(parts, out);
+  AddConnectionMetrics(parts, out);
   AddDispatchMetrics(parts, out);
   AddLogMetrics(parts, out);
   AddJobMetrics(parts, owner, out);
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "../address.h"
+#include "../listener_limits.h"
+#include "../listener_report.h"
 #include "api_routes.h"
 #include "ebonypin/daemon/events.h"
 #include "ebonypin/daemon/metrics.h"
@@ -52,7 +54,7 @@
                .m_rpc_address = m_settings.m_rpc_address,
                .m_http_address = m_settings.m_http_address},
         m_log(platform::NewHttpLogService(m_settings.m_log_url, m_settings.m_log_timeout)),
-        m_http(m_settings.m_http_address),
+        m_http(m_settings.m_http_address, ApiLimits(m_settings, kMaxBodyBytes)),
         m_config([this] { OnConfigChange(); }),
         m_jobs(m_timers, {.m_entry = m_self.m_entry, .m_incarnation = m_self.m_incarnation},
                {.m_on_events =
@@ -74,8 +76,8 @@
                 MakeCaller(), m_config, m_jobs, m_members) {}
 
   ~EntryRole() override {
-    // Handlers use the members that are destroyed below. The listener itself is closed last, since
-    // the HTTP library then answers 404 on open connections.
+    // Handlers use the members that are destroyed below. The listener itself is closed last, so
+    // that calls get the answer of a stopped entry to the end.
     Stop();
     m_metrics.reset();
     m_stopping = true;
@@ -124,6 +126,7 @@
       // One entry is enough. Repeated rewrites have no effect.
       if (live.front().m_entry == m_self.m_entry) m_config.Rewrite(m_settings.m_log_retention);
       LogChanges(m_requests.Sweep());
+      m_http_report.Update(m_http.ConnectionCounters(), Now());
     });
     m_events.Every(kOwnerInterval, [this] { m_owner.Tick(); });
     // Requests would be refused while no agent is known. Each agent sends a heartbeat within a
@@ -301,6 +304,7 @@
   std::unique_ptr<wire::Rpc> m_rpc;
   std::unique_ptr<MetricsServer> m_metrics;
   // Used on the event thread only.
+  ListenerReport m_http_report{"http"};
   const core::Time m_started = Now();
   core::Time m_alive_due;
   bool m_was_isolated = false;
--- a/packages/daemon/src/entry/http_server.cc
+++ b/packages/daemon/src/entry/http_server.cc
@@ -11,7 +11,6 @@
 namespace ebonypin::daemon {
 namespace {
 
-using web::http::http_request;
 using web::http::status_codes;
 
 bool IsPlaceholder(const std::string& segment) { return segment.starts_with('{'); }
@@ -35,26 +34,6 @@
   return {.m_kind = core::ErrorKind::kInvalidRequest, .m_message = what + "; see docs/http_api.md"};
 }
 
-/// Returns an error when the body must be refused. The memory for a body without a declared length
-/// would be unbounded.
-std::optional<core::Error> CheckBody(const http_request& request) {
-  if (request.headers().has(web::http::header_names::transfer_encoding)) {
-    return Invalid("a body must have a Content-Length");
-  }
-  if (request.headers().content_length() > kMaxBodyBytes) {
-    return core::Error{.m_kind = core::ErrorKind::kTooLarge,
-                       .m_message = "the body is larger than " + std::to_string(kMaxBodyBytes) +
-                                    " bytes; send less or a reference to the data"};
-  }
-  return std::nullopt;
-}
-
-/// Stops reading the body, all of which the library would otherwise keep in memory.
-void DropBody(const http_request& request) {
-  request.body().streambuf().close(
-      std::ios_base::out, std::make_exception_ptr(std::runtime_error("the body was refused")));
-}
-
 /// Retry-After of a call that comes after Stop. Other entries can serve the call at once, but
 /// Retry-After has a resolution of one second.
 constexpr std::chrono::seconds kStoppedRetryAfter{1};
@@ -68,13 +47,12 @@
 
 }  // namespace
 
-HttpServer::HttpServer(const std::string& address) : m_listener("http://" + address) {
-  m_listener.support([this](const http_request& request) { Serve(request); });
-}
+HttpServer::HttpServer(std::string address, const http::ServerLimits& limits)
+    : m_address(std::move(address)), m_limits(limits) {}
 
 HttpServer::~HttpServer() {
-  if (m_open) m_listener.close().wait();
   m_calls->m_gate.Close();
+  m_server = nullptr;
 }
 
 void HttpServer::Add(const web::http::method& method, const std::string& path, ApiHandler handler) {
@@ -84,10 +62,17 @@
 }
 
 void HttpServer::Open() {
-  m_listener.open().wait();
+  m_server = std::make_unique<http::Server>(
+      m_address, m_limits, [this](const http::Request& request, http::Respond respond) {
+        Serve(request, std::move(respond));
+      });
   m_open = true;
 }
 
+http::ServerCounters HttpServer::ConnectionCounters() const {
+  return m_open ? m_server->Counters() : http::ServerCounters{};
+}
+
 void HttpServer::Stop(const ApiAnswer& answer, const core::Duration timeout) {
   m_calls->m_gate.Close();
   std::set<OpenRequestPtr> open_requests;
@@ -96,88 +81,60 @@
     open_requests = m_calls->m_open;
   }
   for (const auto& open : open_requests) {
-    // A request whose body has not ended is refused by the gate.
+    // Others are refused by the gate.
     if (open->m_handled) Send(m_calls, open, answer);
   }
   const auto until = Now() + timeout;
   while (Counters().m_in_progress > 0 && Now() < until) std::this_thread::sleep_for(kStopPoll);
 }
 
-void HttpServer::Serve(const http_request& request) {
+void HttpServer::Serve(const http::Request& request, http::Respond respond) {
   ++m_calls->m_counters.m_calls;
   ++m_calls->m_counters.m_in_progress;
   const auto open = std::make_shared<OpenRequest>();
-  open->m_request = request;
+  open->m_respond = std::move(respond);
   {
     const std::lock_guard lock(m_calls->m_mutex);
     m_calls->m_open.insert(open);
   }
-  if (!m_calls->m_gate.Run([&] { Dispatch(open); })) Send(m_calls, open, StoppedAnswer());
+  if (!m_calls->m_gate.Run([&] { Dispatch(open, request); })) Send(m_calls, open, StoppedAnswer());
 }
 
-void HttpServer::Dispatch(const OpenRequestPtr& open) {
-  const auto& request = open->m_request;
+void HttpServer::Dispatch(const OpenRequestPtr& open, const http::Request& request) {
   ApiCall call{.m_arrived = Now()};
   try {
-    if (const auto error = CheckBody(request)) {
-      DropBody(request);
-      return Send(m_calls, open, Refusal(*error));
+    if (request.m_headers.contains("Transfer-Encoding")) {
+      return Send(m_calls, open, Refusal(Invalid("a body must have a Content-Length")));
     }
-    const auto path = web::uri::split_path(request.relative_uri().path());
+    const auto path = web::uri::split_path(web::uri(request.m_path).resource().path());
     bool known_path = false;
     for (const auto& route : m_routes) {
       auto values = Match(route, path);
       if (!values) continue;
       known_path = true;
-      if (route.m_method != request.method()) continue;
+      if (route.m_method != request.m_method) continue;
       call.m_path_parameters = std::move(*values);
-      for (auto& [name, text] : web::uri::split_query(request.relative_uri().query())) {
+      for (auto& [name, text] : web::uri::split_query(request.m_query)) {
         call.m_query.emplace(web::uri::decode(name), web::uri::decode(text));
       }
-      return Handle(open, route, std::move(call));
+      call.m_body = web::json::value::object();
+      if (!request.m_body.empty()) call.m_body = web::json::value::parse(request.m_body);
+      if (!call.m_body.is_object()) throw std::invalid_argument("the body is not an object");
+      open->m_handled = true;
+      return route.m_handler(
+          call, [calls = m_calls, open](const ApiAnswer& answer) { Send(calls, open, answer); });
     }
     Send(m_calls, open,
          Refusal({.m_kind = core::ErrorKind::kNotFound,
-                  .m_message = known_path ? "the path does not support method " + request.method() +
+                  .m_message = known_path ? "the path does not support method " + request.m_method +
                                                 "; see docs/http_api.md"
                                           : "no such path; see docs/http_api.md"}));
   } catch (const std::exception& exception) {
+    // Handlers throw only before they answer or start any work.
     Send(m_calls, open, Refusal(Invalid(exception.what())));
   }
 }
 
-void HttpServer::Handle(const OpenRequestPtr& open, const Route& route, ApiCall call) {
-  const auto run = [calls = m_calls, open, &route](const ApiCall& ready) {
-    open->m_handled = true;
-    route.m_handler(ready, [calls, open](const ApiAnswer& answer) { Send(calls, open, answer); });
-  };
-  if (open->m_request.headers().content_length() == 0) {
-    call.m_body = web::json::value::object();
-    return run(call);
-  }
-  open->m_request.extract_string(true).then([calls = m_calls, open, run, call = std::move(call)](
-                                                const pplx::task<std::string>& body) mutable {
-    const auto refuse = [&](const std::exception& exception) {
-      Send(calls, open, Refusal(Invalid(exception.what())));
-    };
-    try {
-      call.m_body = web::json::value::parse(body.get());
-      if (!call.m_body.is_object()) throw std::invalid_argument("the body is not an object");
-    } catch (const std::exception& exception) {
-      return refuse(exception);
-    }
-    const bool taken = calls->m_gate.Run([&] {
-      try {
-        run(call);
-      } catch (const std::exception& exception) {
-        // Handlers throw only before they answer or start any work.
-        refuse(exception);
-      }
-    });
-    if (!taken) Send(calls, open, StoppedAnswer());
-  });
-}
-
 void HttpServer::Send(const std::shared_ptr<Calls>& calls, const OpenRequestPtr& open,
                       const ApiAnswer& answer) {
   if (open->m_answered.test_and_set()) return;
@@ -191,21 +148,15 @@
   } else if (answer.m_status >= status_codes::BadRequest) {
     ++counters.m_refused;
   }
-  web::http::http_response response(answer.m_status);
-  response.set_body(answer.m_body);
-  if (!answer.m_location.empty()) response.headers().add("Location", answer.m_location);
+  http::Response response{.m_status = answer.m_status, .m_body = answer.m_body.serialize()};
+  if (!answer.m_location.empty()) response.m_headers.emplace_back("Location", answer.m_location);
   if (answer.m_retry_after > core::Duration{}) {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.m_retry_after);
-    response.headers().add("Retry-After", seconds.count());
+    response.m_headers.emplace_back("Retry-After", std::to_string(seconds.count()));
   }
-  open->m_request.reply(response).then([calls](const pplx::task<void>& sent) {
-    try {
-      sent.get();
-    } catch (const std::exception&) {
-      // The caller has closed the connection.
-    }
-    --calls->m_counters.m_in_progress;
-  });
+  // An error means that the caller has closed the connection.
+  open->m_respond(std::move(response),
+                  [calls](const std::string& /*error*/) { --calls->m_counters.m_in_progress; });
 }
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/entry/http_server.h
+++ b/packages/daemon/src/entry/http_server.h
@@ -1,9 +1,6 @@
-/// HTTP listener that dispatches calls to routes, limits the size of bodies and answers each call
-/// once.
+/// HTTP listener that dispatches calls to routes and answers each call once.
 #pragma once
 
-#include <cpprest/http_listener.h>
-
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -11,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/http/server.h"
 #include "ebonypin/platform/call_gate.h"
 #include "http_api.h"
 
@@ -33,7 +31,7 @@
 class HttpServer {
  public:
   /// `address` is "ip:port".
-  explicit HttpServer(const std::string& address);
+  explicit HttpServer(std::string address, const http::ServerLimits& limits = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -50,18 +48,19 @@
   void Stop(const ApiAnswer& answer, core::Duration timeout);
 
   [[nodiscard]] const HttpCounters& Counters() const noexcept { return m_calls->m_counters; }
+  /// Returns the counters of the connections; all zero before Open.
+  [[nodiscard]] http::ServerCounters ConnectionCounters() const;
 
  private:
   /// Request in progress, which is answered once.
   struct OpenRequest {
-    web::http::http_request m_request;
+    http::Respond m_respond;
     std::atomic<bool> m_handled{false};  ///< A handler was called.
     std::atomic_flag m_answered;
   };
   using OpenRequestPtr = std::shared_ptr<OpenRequest>;
 
-  /// Shared with the HTTP library, which reads bodies to their ends and may write the last answers
-  /// after the listener is closed.
+  /// Shared with handlers that answer after the server was destroyed.
   struct Calls {
     platform::CallGate m_gate;  ///< Handlers are called through it.
     HttpCounters m_counters;
@@ -69,16 +68,17 @@
     std::set<OpenRequestPtr> m_open;
   };
 
-  void Serve(const web::http::http_request& request);
-  void Dispatch(const OpenRequestPtr& open);
-  void Handle(const OpenRequestPtr& open, const Route& route, ApiCall call);
+  void Serve(const http::Request& request, http::Respond respond);
+  void Dispatch(const OpenRequestPtr& open, const http::Request& request);
   static void Send(const std::shared_ptr<Calls>& calls, const OpenRequestPtr& open,
                    const ApiAnswer& answer);
 
+  const std::string m_address;
+  const http::ServerLimits m_limits;
   const std::shared_ptr<Calls> m_calls = std::make_shared<Calls>();
-  web::http::experimental::listener::http_listener m_listener;
   std::vector<Route> m_routes;
-  bool m_open = false;
+  std::atomic<bool> m_open{false};  ///< Set after m_server, which metrics read from other threads.
+  std::unique_ptr<http::Server> m_server;
 };
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "../http_threads.h"
+#include "../listener_limits.h"
+#include "../listener_report.h"
 #include "boot_clock.h"
 #include "ebonypin/core/fleet/share_report.h"
 #include "ebonypin/core/fleet/worker_agent.h"
@@ -103,8 +105,8 @@
     // Everything that calls into the agent is stopped, in this order, before the agent is
     // destroyed.
     m_metrics_server = nullptr;
-    m_control = nullptr;
     m_events->Stop();
+    m_control = nullptr;  // The event thread reads its counters.
     m_rpc = nullptr;
   }
 
@@ -124,7 +126,8 @@
                      [this](const core::Message& message, wire::ReplyFunction reply) {
                        ServeMessage(message, std::move(reply));
                      });
-    m_control = m_platform.m_control(m_settings.m_control_address, Handlers());
+    m_control = m_platform.m_control(m_settings.m_control_address, Handlers(),
+                                     SideLimits(m_settings, kMaxHeartbeatBytes));
     m_coordinator_watch = WatchCoordinator(
         m_events, *m_store, m_platform.m_coordinator_topic, kCoordinatorPollWait,
         [this](const auto& record) { HandleCoordinator(record); },
@@ -213,6 +216,9 @@
   }
 
   void UpdateMetrics() {
+    const auto control = m_control->Counters();
+    m_fleet_metrics.SetListener("control", control);
+    m_control_report.Update(control, Now());
     m_fleet_metrics.Set("granted", m_granted ? 1.0 : 0.0);
     m_fleet_metrics.Set("worker_reachable", m_agent.m_worker.m_reachable ? 1.0 : 0.0);
     m_fleet_metrics.Set("epoch", static_cast<double>(m_agent.m_epoch));
@@ -393,6 +399,7 @@
   std::shared_ptr<TopicWatch> m_coordinator_watch;
   std::unique_ptr<MetricsServer> m_metrics_server;
   FleetMetrics m_fleet_metrics;
+  ListenerReport m_control_report{"control"};
   core::Time m_started;
   bool m_refused_coordinator = false;  ///< Before the coordinator's record was read.
   bool m_report_in_flight = false;
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -10,6 +10,8 @@
 
 #include "../address.h"
 #include "../http_threads.h"
+#include "../listener_limits.h"
+#include "../listener_report.h"
 #include "../rpc_metrics.h"
 #include "boot_clock.h"
 #include "call_router.h"
@@ -134,8 +136,8 @@
   ~FleetEntryRole() override {
     if (!m_stopped) Stop();
     m_metrics_server = nullptr;
-    m_readiness = nullptr;
     m_events->Stop();
+    m_readiness = nullptr;  // The event thread reads its counters.
     m_rpc = nullptr;
   }
 
@@ -172,7 +174,8 @@
     m_coordinator->Start();
     m_events->Every(kMetricsInterval, [this] { UpdateMetrics(); });
     m_job_api = m_platform.m_job_api(
-        m_settings.m_http_address, [this](JobApiCall call, platform::JobApiRespond respond) {
+        m_settings.m_http_address,
+        [this](JobApiCall call, platform::JobApiRespond respond) {
           // Counted before the check of `m_stopped`: AnswerOpenCalls waits for every call that is
           // not refused here.
           ++*m_in_progress;
@@ -180,9 +183,15 @@
           m_events->Post([this, call = std::move(call), respond = std::move(respond)]() mutable {
             ServeCaller(std::move(call), respond);
           });
-        });
-    m_readiness = m_platform.m_readiness(m_settings.m_readiness_address,
-                                         [this] { return m_ready && !m_draining; });
+        },
+        m_api_limits);
+    m_readiness = m_platform.m_readiness(
+        m_settings.m_readiness_address, [this] { return m_ready && !m_draining; },
+        SideLimits(m_settings, kMaxProbeBodyBytes));
+    m_events->Post([this] {
+      m_listeners_open = true;
+      ApplyConfiguredLimits();
+    });
     m_metrics_server = StartMetrics(m_settings, m_fleet_metrics, *m_rpc);
   }
 
@@ -223,7 +232,23 @@
     }
   }
 
+  /// The limits of the configuration replace those of the settings.
+  void ApplyConfiguredLimits() {
+    if (m_listeners_open) m_job_api->SetLimits(WithConfiguration(m_api_limits, m_queues));
+  }
+
+  void UpdateListenerMetrics() {
+    if (!m_listeners_open) return;
+    const auto job_api = m_job_api->Counters();
+    m_fleet_metrics.SetListener("job_api", job_api);
+    m_job_api_report.Update(job_api, Now());
+    const auto readiness = m_readiness->Counters();
+    m_fleet_metrics.SetListener("readiness", readiness);
+    m_readiness_report.Update(readiness, Now());
+  }
+
   void UpdateMetrics() {
+    UpdateListenerMetrics();
     const auto& state = m_coordinator->State();
     const auto& counters = state.m_counters;
     m_fleet_metrics.Set("is_coordinator", m_coordinator->IsActive() ? 1.0 : 0.0);
@@ -310,6 +335,7 @@
     }
     if (!Replace(m_queues, std::move(*table.m_value))) return;
     m_ready = true;
+    ApplyConfiguredLimits();
     LogEvent(kQueuesChanged,
              {{"version", m_queues.m_version}, {"queues", m_queues.m_routes.size()}});
   }
@@ -429,14 +455,14 @@
   const config::Settings m_settings;
   const platform::PlatformPlugin& m_platform;
   const std::shared_ptr<EventThread> m_events = std::make_shared<EventThread>();
-  /// Calls without a written answer. Shared with the HTTP library, which may write the last answers
+  const http::ServerLimits m_api_limits = ApiLimits(m_settings, kMaxJobBodyBytes);
+  /// Calls without a written answer. Shared with the listener, which may write the last answers
   /// after the role is destroyed.
   const std::shared_ptr<std::atomic<std::int64_t>> m_in_progress =
       std::make_shared<std::atomic<std::int64_t>>(0);
   std::atomic<bool> m_stopped{false};  ///< The role is being destroyed; calls are refused.
   FleetMetrics m_fleet_metrics;
-  /// Destroyed after all members below. Once it is closed, the HTTP library answers 404 on open
-  /// connections, which callers take for "no such queue".
+  /// Destroyed after all members below, so that calls get the answer of a stopped entry to the end.
   std::unique_ptr<platform::Listener> m_job_api;
   std::unique_ptr<platform::KeyedStore> m_store;
   std::unique_ptr<platform::AdviceService> m_advice;
@@ -448,6 +474,10 @@
   std::shared_ptr<TopicWatch> m_coordinator_watch;
   std::unique_ptr<platform::Listener> m_readiness;
   std::unique_ptr<MetricsServer> m_metrics_server;
+  // Used on the event thread only.
+  bool m_listeners_open = false;
+  ListenerReport m_job_api_report{"job_api"};
+  ListenerReport m_readiness_report{"readiness"};
   core::fleet::QueueTable m_queues;
   core::fleet::Evacuations m_evacuations;
   std::atomic<bool> m_ready{false};
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -59,6 +59,15 @@
   m_values[name] = value;
 }
 
+void FleetMetrics::SetListener(const std::string& listener, const http::ServerCounters& counters) {
+  Set(listener + "_connections", static_cast<double>(counters.m_open));
+  Set(listener + "_connections_total", static_cast<double>(counters.m_accepted));
+  Set(listener + "_buffered_bytes", static_cast<double>(counters.m_buffered_bytes));
+  for (const auto& [reason, count] : counters.m_closed) {
+    Set(listener + "_closed_" + reason + "_total", static_cast<double>(count));
+  }
+}
+
 std::vector<Metric> FleetMetrics::Read(const wire::Rpc& rpc) const {
   std::vector<Metric> metrics;
   {
--- a/packages/daemon/src/fleet/fleet_parts.h
+++ b/packages/daemon/src/fleet/fleet_parts.h
@@ -12,6 +12,7 @@
 #include "ebonypin/config/settings.h"
 #include "ebonypin/core/fleet/records.h"
 #include "ebonypin/daemon/metrics.h"
+#include "ebonypin/http/server.h"
 #include "ebonypin/platform/users_platform.h"
 #include "ebonypin/wire/rpc.h"
 #include "topic_watch.h"
@@ -33,6 +34,9 @@
   /// Sets the metric "ebonypin_fleet_" plus `name`; names that end in "_total" are counters.
   void Set(const std::string& name, double value);
 
+  /// Sets the metrics of a listener, whose names begin with `listener`.
+  void SetListener(const std::string& listener, const http::ServerCounters& counters);
+
   /// Returns all metrics of the process, including those of `rpc`.
   [[nodiscard]] std::vector<Metric> Read(const wire::Rpc& rpc) const;
 
--- a/packages/platform/include/ebonypin/platform/job_front.h
+++ b/packages/platform/include/ebonypin/platform/job_front.h
@@ -7,6 +7,7 @@
 
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/queue_table.h"
+#include "ebonypin/http/server.h"
 
 namespace ebonypin::platform {
 
@@ -59,7 +60,7 @@
 };
 
 /// Handlers of the worker's messages to its agent: heartbeats, notices that the worker leaves, and
-/// malformed messages. They run on a thread of the HTTP library.
+/// malformed messages. They run on the thread of the listener.
 struct ControlHandlers {
   std::function<void(const WorkerHeartbeat&)> m_on_heartbeat;
   std::function<void(const core::fleet::WorkerId&)> m_on_leave;
@@ -74,6 +75,10 @@
   virtual ~Listener() = default;
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
+
+  /// Applies from the next request of each connection on.
+  virtual void SetLimits(const http::ServerLimits& limits) = 0;
+  [[nodiscard]] virtual http::ServerCounters Counters() const = 0;
 };
 
 }  // namespace ebonypin::platform
--- a/packages/platform/include/ebonypin/platform/users_platform.h
+++ b/packages/platform/include/ebonypin/platform/users_platform.h
@@ -30,12 +30,14 @@
   std::function<std::unique_ptr<AdviceService>(const std::string& url)> m_advice;
   std::function<std::unique_ptr<MachineList>(const std::string& url)> m_machines;
   /// Open listeners at "ip:port". They throw std::exception when the address is in use.
-  std::function<std::unique_ptr<Listener>(const std::string& address, JobApiHandler handler)>
+  std::function<std::unique_ptr<Listener>(const std::string& address, JobApiHandler handler,
+                                          const http::ServerLimits& limits)>
       m_job_api;
-  std::function<std::unique_ptr<Listener>(const std::string& address,
-                                          std::function<bool()> is_ready)>
+  std::function<std::unique_ptr<Listener>(
+      const std::string& address, std::function<bool()> is_ready, const http::ServerLimits& limits)>
       m_readiness;
-  std::function<std::unique_ptr<Listener>(const std::string& address, ControlHandlers handlers)>
+  std::function<std::unique_ptr<Listener>(const std::string& address, ControlHandlers handlers,
+                                          const http::ServerLimits& limits)>
       m_control;
 };
 
