Hold callers' calls while the store is unavailable

Cause: an entry whose store was silent or refused calls answered a submission with 504 within milliseconds, so callers used up their retries within an outage of 4.2 s and lost the job. Change: with [calls] hold the coordinator holds new submissions, cancels of unknown jobs and reads that need a confirmation, for at most half of the caller's wait and within bounds on number and memory, and serves them when the store responds. JobCall carries the time that is left.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -45,6 +45,10 @@
   std::string m_advice_url;    ///< Base URL of the advice service; empty: none.
   std::string m_machines_url;  ///< Base URL of the list of machines; empty: none.
 
+  // [calls], fleet entries only
+  /// Longest time for which a call is held while the store is unavailable; zero: none is held.
+  core::Duration m_calls_hold{};
+
   // [worker], agents only
   std::string m_worker_url;  ///< Base URL of the platform's worker interface.
   core::Resources m_capacity;
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -227,6 +227,9 @@
       Key("machines", "url", Url(&S::m_machines_url), {.m_example = "http://127.0.0.1:7502"},
           "Base URL of the platform's list of machines; without it, a new coordinator waits for "
           "members that were removed."),
+      Key("calls", "hold", DurationBetween(&S::m_calls_hold, 0ms, 10s), {.m_default = "0ms"},
+          "Longest time for which a call is held while the store is unavailable, at most half of "
+          "the caller's wait; 0ms: calls are not held."),
       Key("worker", "url", Url(&S::m_worker_url),
           {.m_required = RequiredBy::kBothAgents, .m_example = "http://127.0.0.1:7301"},
           "Base URL of the worker's interface."),
--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -458,9 +458,16 @@
 /// neither accepted nor refused: a successor may have accepted it in an earlier call.
 [[nodiscard]] bool IsStoreSilent(const Coordinator& state, Time since, Time now) noexcept;
 
+/// What happens to submissions that WithdrawUnwritten returns.
+enum class Withdrawal : std::uint8_t {
+  kGivenUp,
+  kHeld,  ///< They are submitted again when the store responds.
+};
+
 /// Removes the jobs whose submission was not handed out by TakeWrites, and returns them. Nothing
 /// about them was sent to the store. Their cancels are kept.
-[[nodiscard]] std::set<JobId> WithdrawUnwritten(Coordinator& state);
+[[nodiscard]] std::set<JobId> WithdrawUnwritten(Coordinator& state,
+                                                Withdrawal withdrawal = Withdrawal::kGivenUp);
 
 /// Applies the state changes of `batch`, whose records are now in the store.
 void OnWritten(Coordinator& state, const WriteBatch& batch);
--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -157,6 +157,9 @@
 struct JobCall {
   JobCallKind m_kind = JobCallKind::kState;
   JobSpec m_job;  ///< kSubmit uses all of it, the other calls only the id and the queue.
+  /// Time for which the sender waits for the answer while the store is unavailable. Zero: it does
+  /// not hold calls, or is of an earlier version.
+  Duration m_wait{};
 
   friend bool operator==(const JobCall&, const JobCall&) = default;
 };
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -108,10 +108,12 @@
   return since != Time{} && now - since > state.m_options.m_append_patience;
 }
 
-std::set<JobId> WithdrawUnwritten(Coordinator& state) {
+std::set<JobId> WithdrawUnwritten(Coordinator& state, const Withdrawal withdrawal) {
   auto withdrawn = std::exchange(state.m_unwritten_jobs, {});
   for (const auto& id : withdrawn) {
-    if (Job& job = state.m_jobs.at(id); job.m_cancelled) {
+    Job& job = state.m_jobs.at(id);
+    if (withdrawal == Withdrawal::kHeld && !job.m_cancelled) --state.m_counters.m_submitted;
+    if (job.m_cancelled) {
       job.m_spec = {.m_id = id};
       job.m_submitted = false;
       job.m_occurrences.clear();
@@ -120,6 +122,11 @@
       state.m_open_jobs.erase(id);
       state.m_unwritten_progress.erase(id);
     }
+    if (withdrawal == Withdrawal::kHeld) {
+      LogDecision(state, "submission held", {.m_job = id}, 0, {},
+                  "the store does not take records, and this one was not sent");
+      continue;
+    }
     ++state.m_counters.m_refused;
     LogFailure(state, "submission withdrawn", {.m_job = id}, 0, {},
                "the store does not take records, and this one was not sent");
--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -106,6 +106,8 @@
 inline const Event kEvacuationBegan = DefineEvent(630, EventLevel::kInfo, "evacuation of a failure domain began");
 inline const Event kEvacuationEnded = DefineEvent(631, EventLevel::kInfo, "evacuation of a failure domain ended");
 inline const Event kEvacuationRefused = DefineEvent(632, EventLevel::kWarn, "evacuation record refused");
+inline const Event kHoldBegan = DefineEvent(640, EventLevel::kWarn, "calls held for the store");
+inline const Event kHoldEnded = DefineEvent(641, EventLevel::kInfo, "no more calls held");
 // clang-format on
 
 /// Returns every defined event, ordered by number.
--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -32,8 +32,9 @@
 
 }  // namespace
 
-FleetSite::FleetSite(const std::size_t entries, const std::size_t agents, const bool with_config)
-    : m_store_address(FreeAddress()), m_advice_address(FreeAddress()) {
+FleetSite::FleetSite(const std::size_t entries, const std::size_t agents, const bool with_config,
+                     const core::Duration hold)
+    : m_hold(hold), m_store_address(FreeAddress()), m_advice_address(FreeAddress()) {
   m_store = standin::CreateStandin("store", m_store_address);
   m_store->Start();
   m_advice = standin::CreateStandin("advice", m_advice_address);
@@ -79,7 +80,8 @@
                             .m_metrics_address = at.m_metrics,
                             .m_readiness_address = at.m_readiness,
                             .m_store_url = "http://" + m_store_address,
-                            .m_advice_url = "http://" + m_advice_address};
+                            .m_advice_url = "http://" + m_advice_address,
+                            .m_calls_hold = m_hold};
   m_entries[entry] = CreateRole(settings.m_role, settings);
   m_entries[entry]->Start();
 }
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -13,12 +13,21 @@
 class FleetSite {
  public:
   /// Starts everything. With `with_config`, puts a configuration into the store and waits until
-  /// each agent has a grant; without it the store holds no configuration.
-  FleetSite(std::size_t entries, std::size_t agents, bool with_config = true);
+  /// each agent has a grant; without it the store holds no configuration. Entries hold calls for
+  /// `hold` while the store is unavailable.
+  FleetSite(std::size_t entries, std::size_t agents, bool with_config = true,
+            core::Duration hold = {});
   ~FleetSite();
 
   [[nodiscard]] const std::string& StoreAddress() const noexcept { return m_store_address; }
 
+  [[nodiscard]] const std::string& HttpAddress(std::size_t entry) const {
+    return m_entry_addresses[entry].m_http;
+  }
+  [[nodiscard]] const std::string& MetricsAddress(std::size_t entry) const {
+    return m_entry_addresses[entry].m_metrics;
+  }
+
   /// Calls entry number `entry`. A status of 0 means that there was no answer.
   [[nodiscard]] HttpResult Call(std::size_t entry, const std::string& method,
                                 const std::string& path, const std::string& body = {}) const;
@@ -85,6 +94,7 @@
   /// Returns the sum of a counter of all workers.
   [[nodiscard]] int WorkerCount(const std::string& counter) const;
 
+  const core::Duration m_hold;
   std::string m_store_address;
   std::vector<EntryAddresses> m_entry_addresses;
   std::vector<AgentAddresses> m_agent_addresses;
--- a/packages/daemon/scenarios/process_site.cc
+++ b/packages/daemon/scenarios/process_site.cc
@@ -41,8 +41,8 @@
 }  // namespace
 
 ProcessSite::ProcessSite(const std::size_t entries, const std::size_t agents,
-                         std::string log_folder)
-    : m_log_folder(std::move(log_folder)) {
+                         std::string log_folder, std::string entry_settings)
+    : m_log_folder(std::move(log_folder)), m_entry_settings(std::move(entry_settings)) {
   const auto store = FreeAddress(kListenIp);
   m_store = standin::CreateStandin("store", store);
   m_store->Start();
@@ -78,9 +78,9 @@
   Member member{.m_http = FreeAddress(kListenIp), .m_metrics = FreeAddress(kListenIp)};
   member.m_settings = fmt::format(
       "[process]\nrole = fleet_entry\nid = {}\ndomain = domain-a\nrpc = {}\nrpc_listen = {}\n"
-      "http = {}\nreadiness = {}\nmetrics = {}\n[store]\nurl = http://{}\n",
+      "http = {}\nreadiness = {}\nmetrics = {}\n[store]\nurl = http://{}\n{}",
       name, m_network.Open(name, listen), listen, member.m_http, FreeAddress(kListenIp),
-      member.m_metrics, store);
+      member.m_metrics, store, m_entry_settings);
   StartMember(name, member);
   m_entries.push_back(std::move(member));
 }
--- a/packages/daemon/scenarios/process_site.h
+++ b/packages/daemon/scenarios/process_site.h
@@ -19,8 +19,9 @@
 class ProcessSite {
  public:
   /// Starts everything and waits until each agent has run a task. Logs go to `log_folder`, which
-  /// must exist.
-  ProcessSite(std::size_t entries, std::size_t agents, std::string log_folder);
+  /// must exist. `entry_settings` are lines that are added to the settings of entries.
+  ProcessSite(std::size_t entries, std::size_t agents, std::string log_folder,
+              std::string entry_settings = {});
   ~ProcessSite();
 
   [[nodiscard]] std::size_t Entries() const noexcept { return m_entries.size(); }
@@ -32,6 +33,10 @@
     return m_entries[entry].m_http;
   }
 
+  [[nodiscard]] const std::string& MetricsAddress(std::size_t entry) const {
+    return m_entries[entry].m_metrics;
+  }
+
   /// Calls entry number `entry`. A status of 0 means that there was no answer.
   [[nodiscard]] HttpResult Call(std::size_t entry, const std::string& method,
                                 const std::string& path, const std::string& body = {}) const;
@@ -74,6 +79,7 @@
   [[nodiscard]] std::string DescribeEnded();
 
   const std::string m_log_folder;
+  const std::string m_entry_settings;
   CutNetwork m_network;
   std::unique_ptr<standin::Standin> m_store;
   std::vector<std::string> m_worker_addresses;
--- a/packages/daemon/src/fleet/call_router.h
+++ b/packages/daemon/src/fleet/call_router.h
@@ -19,6 +19,8 @@
   core::Duration m_retry_after = std::chrono::seconds{1};
   /// Delay before the next attempt.
   core::Duration m_retry_delay = std::chrono::milliseconds{120};
+  /// Calls are held while the store is unavailable: `m_wait` of a call says for how long.
+  bool m_holds = false;
 };
 
 /// Sends job calls to the current coordinator and retries them. Runs on the event thread.
@@ -27,9 +29,11 @@
   CallRouter(std::shared_ptr<EventThread> events, wire::Rpc& rpc, CoordinatorService& coordinator,
              CallRouterOptions options = {});
 
-  /// Calls `done` once, within the shorter of `budget` and the router's own budget. The status is
-  /// never kNotCoordinator. Without an answer of a coordinator it is kUnknown, also for a
-  /// submission that was not sent: an earlier call for the job may have been accepted through
+  /// Calls `done` once, within the shorter of `budget` and the router's own budget, or soon after
+  /// `m_wait` of the call if that is longer and calls are held; then it is not called without an
+  /// answer before `m_wait` has passed, unless the coordinator gives the call up for another one.
+  /// The status is never kNotCoordinator. Without an answer of a coordinator it is kUnknown, also
+  /// for a submission that was not sent: an earlier call for the job may have been accepted through
   /// another entry.
   void Call(core::fleet::JobCall call, core::Duration budget, JobCallDone done);
 
@@ -40,7 +44,12 @@
   struct PendingCall;
 
   void Attempt(const std::shared_ptr<PendingCall>& pending);
-  void OnReply(const std::shared_ptr<PendingCall>& pending, const core::fleet::JobCallReply& reply);
+  /// Repeats the calls that wait for an answer of an entry that is no longer the coordinator. It
+  /// may be frozen or cut off, and they would wait for it as long as it may hold them.
+  void AskNewCoordinator();
+  /// Handles the reply to the attempt with this number. Replies to earlier ones are ignored.
+  void OnReply(const std::shared_ptr<PendingCall>& pending, std::uint64_t attempt,
+               const core::fleet::JobCallReply& reply);
   /// Answers a call without a final reply: its outcome is unknown.
   void GiveUp(const std::shared_ptr<PendingCall>& pending, core::fleet::JobCallReply last);
   void Finish(const std::shared_ptr<PendingCall>& pending, const core::fleet::JobCallReply& reply);
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -145,14 +145,15 @@
 }
 
 void CoordinatorService::GiveUpWaiters() {
+  if (HoldsCalls()) return UpdateHold();
   const auto now = BootNow();
   std::set<core::JobId> withdrawn;
   if (IsStoreSilent(now)) withdrawn = WithdrawUnwritten(m_state);
   for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
-    const bool submits = waiter->m_call.m_kind == core::fleet::JobCallKind::kSubmit;
+    const bool submits = waiter->m_call->m_kind == core::fleet::JobCallKind::kSubmit;
     const bool given_up =
         waiter->m_held ? now - waiter->m_held->m_arrived > m_state.m_options.m_append_patience
-                       : submits && withdrawn.count(waiter->m_call.m_job.m_id) > 0;
+                       : submits && withdrawn.count(waiter->m_call->m_job.m_id) > 0;
     if (!given_up) {
       ++waiter;
       continue;
@@ -165,7 +166,7 @@
 
 void CoordinatorService::ResumeWaiters() {
   for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
-    auto reply = waiter->m_held ? std::nullopt : Resume(m_state, waiter->m_call);
+    auto reply = waiter->m_held ? std::nullopt : Resume(m_state, *waiter->m_call);
     auto basis = core::fleet::AnswerBasis::kRecorded;
     if (waiter->m_held && m_leadership.m_confirmed >= waiter->m_held->m_needed) {
       reply = std::move(waiter->m_held->m_reply);
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -355,10 +355,11 @@
   m_orders_in_flight.clear();
   m_next_orders.clear();
   for (auto& waiter : std::exchange(m_waiters, {})) {
-    const bool sent = !waiter.m_held && unwritten.count(waiter.m_call.m_job.m_id) == 0;
+    const bool sent = !waiter.m_held && unwritten.count(waiter.m_call->m_job.m_id) == 0;
     waiter.m_done({.m_status = sent ? JobCallStatus::kUnknown : JobCallStatus::kNotCoordinator,
                    .m_reason = "the coordinator changed"});
   }
+  EndHold();
 }
 
 void CoordinatorService::ObserveCoordinator(const core::Epoch epoch,
@@ -381,6 +382,7 @@
   m_leadership.m_confirmed = std::max(m_leadership.m_confirmed, sent);
   OnEpochConfirmed(m_confirmations, sent);
   ResumeWaiters();
+  ReleaseHeld();
   if (!was_needed || !MayAct(m_leadership, now)) return;
   core::fleet::Tick(m_state, now, WallNow(), m_leadership.m_confirmed);
   ScheduleCycle();
@@ -398,12 +400,16 @@
 
 void CoordinatorService::ConfirmHeldAnswers() {
   // While an append is open, a call without records could take its sequence number.
-  const bool held = std::any_of(m_waiters.begin(), m_waiters.end(),
+  const bool held = !m_held.m_calls.empty() ||
+                    std::any_of(m_waiters.begin(), m_waiters.end(),
                                 [](const Waiter& waiter) { return waiter.m_held.has_value(); });
   if (!IsActive() || !held || !m_appends.m_open.empty()) return;
-  if (NextConfirmation(m_confirmations, {}) <= BootNow()) SendConfirmation();
+  core::fleet::ConfirmationOptions options;
+  // A store that does not respond is probed at the retry interval, also if calls stay open.
+  if (!m_held.m_calls.empty()) options.m_overlap_after = options.m_retry_delay;
+  if (NextConfirmation(m_confirmations, options) <= BootNow()) SendConfirmation();
   // An answer makes the next call due earlier than the timer of the call that it answers.
-  const auto due = NextConfirmation(m_confirmations, {});
+  const auto due = NextConfirmation(m_confirmations, options);
   if (m_confirmation_due != core::Time{} && m_confirmation_due <= due) return;
   m_confirmation_due = due;
   m_events->At(Now() + (due - BootNow()), [this, due] {
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -46,6 +46,7 @@
   m_membership_thread.Post([this] { Join(); });
   m_events->At(Now() + FirstCandidacyCheckDelay(), [this] { CheckCandidacy(); });
   m_events->Every(kTickInterval, [this] { Tick(); });
+  StartHold();
 }
 
 bool CoordinatorService::IsActive() const noexcept {
@@ -60,22 +61,40 @@
                  .m_coordinator = m_known.m_rpc_address});
   }
   const auto now = BootNow();
+  if (call.m_kind == core::fleet::JobCallKind::kCancel) DropHeldSubmissions(call);
+  Serve({.m_call = std::make_shared<const core::fleet::JobCall>(call),
+         .m_arrived = now,
+         .m_deadline = now + WaitOf(call, deadline),
+         .m_done = std::move(done)},
+        /*released=*/false);
+}
+
+void CoordinatorService::Serve(Waiter waiter, const bool released) {
+  const auto now = BootNow();
+  const auto& call = *waiter.m_call;
   using core::fleet::JobCallKind;
   const bool writes = call.m_kind == JobCallKind::kSubmit || call.m_kind == JobCallKind::kCancel;
   const bool is_new = writes && m_state.m_jobs.count(call.m_job.m_id) == 0;
-  if (is_new && IsStoreSilent(now)) {
+  if (is_new && !released && IsStoreSilent(now)) {
+    if (HoldsCalls()) return HoldCall(std::move(waiter));
     ++m_state.m_counters.m_refused;
-    return done(StoreSilentReply());
+    return waiter.m_done(StoreSilentReply());
   }
   auto reply = OnCall(m_state, now, call);
   ScheduleCycle();
-  Waiter waiter{.m_call = call, .m_deadline = now + deadline, .m_done = std::move(done)};
   if (reply) {
     reply->m_epoch = m_state.m_epoch;
     reply->m_basis = core::fleet::AnswerBasis::kMemory;
-    const auto needed = NeededConfirmation(call, *reply, now);
+    // "No such job" is true if it was so at some time since the arrival. Other answers of a call
+    // that was held rest on what the coordinator knows now, and may not be older than that allows.
+    const bool missing =
+        call.m_kind == JobCallKind::kState && reply->m_status == JobCallStatus::kNoSuchJob;
+    const auto needed = NeededConfirmation(call, *reply, missing ? waiter.m_arrived : now);
     if (m_leadership.m_confirmed >= needed) return waiter.m_done(std::move(*reply));
-    if (IsStoreSilent(now)) return waiter.m_done(StoreSilentReply());
+    if (!released && IsStoreSilent(now)) {
+      if (HoldsCalls()) return HoldCall(std::move(waiter));
+      return waiter.m_done(StoreSilentReply());
+    }
     waiter.m_held = {.m_reply = std::move(*reply), .m_needed = needed, .m_arrived = now};
     ScheduleGiveUp();
   }
@@ -217,20 +236,25 @@
   }
 }
 
-void CoordinatorService::Tick() {
-  const auto now = BootNow();
+void CoordinatorService::ExpireWaiters(const core::Time now) {
   for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
     if (now < waiter->m_deadline) {
       ++waiter;
       continue;
     }
-    waiter->m_done({.m_status = JobCallStatus::kUnknown,
-                    .m_reason = waiter->m_held
-                                    ? "the epoch was not confirmed before the deadline of the call"
-                                    : "the change was not recorded before the deadline of the "
-                                      "call"});
+    JobCallReply reply{.m_status = JobCallStatus::kUnknown};
+    // With a retry time, the router does not repeat the call.
+    if (HoldsCalls()) reply = GivenUpReply(waiter->m_call->m_job.m_id);
+    reply.m_reason = waiter->m_held ? "the epoch was not confirmed before the deadline of the call"
+                                    : "the change was not recorded before the deadline of the call";
+    waiter->m_done(std::move(reply));
     waiter = m_waiters.erase(waiter);
   }
+}
+
+void CoordinatorService::Tick() {
+  const auto now = BootNow();
+  ExpireWaiters(now);
   if (!IsActive()) return;
   ConfirmLeadership();
   if (MayAct(m_leadership, now)) {
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -22,6 +22,7 @@
 #include "ebonypin/core/fleet/candidacy.h"
 #include "ebonypin/core/fleet/coordinator.h"
 #include "ebonypin/core/fleet/evacuation.h"
+#include "ebonypin/core/fleet/held_calls.h"
 #include "ebonypin/core/fleet/leadership.h"
 #include "ebonypin/platform/advice.h"
 #include "ebonypin/platform/keyed_store.h"
@@ -44,6 +45,7 @@
   std::string m_coordinator_topic;
   core::fleet::LeadershipOptions m_leadership;
   core::fleet::CoordinatorOptions m_coordinator;
+  core::Duration m_hold{};  ///< Longest time for which a call is held; zero: none is held.
 };
 
 /// Newest coordinator that this entry has learned of.
@@ -75,11 +77,13 @@
   [[nodiscard]] const std::map<core::fleet::WaitCause, std::uint64_t>& Waits() const noexcept {
     return m_waits;
   }
+  [[nodiscard]] const core::fleet::HeldCalls& Held() const noexcept { return m_held; }
 
   /// Serves a call if this entry is the coordinator, and answers kNotCoordinator otherwise. `done`
   /// is called once. A call whose change has not been recorded by the first tick after
   /// `deadline` is answered with kUnknown, and so is one whose answer is true only while there is
   /// no later coordinator, when the store does not confirm that in time (see call_answers.h).
+  /// If calls are held, `m_wait` of the call replaces `deadline`, which counts if it is zero.
   void Call(const core::fleet::JobCall& call, core::Duration deadline, JobCallDone done);
 
   [[nodiscard]] core::fleet::AgentReportReply OnReport(const core::fleet::AgentReport& report);
@@ -102,7 +106,8 @@
 
   /// Call whose answer waits until its change is recorded, or until the epoch is confirmed.
   struct Waiter {
-    core::fleet::JobCall m_call;
+    std::shared_ptr<const core::fleet::JobCall> m_call;
+    core::Time m_arrived;
     core::Time m_deadline;
     JobCallDone m_done;
     std::optional<HeldAnswer> m_held;
@@ -126,6 +131,31 @@
     std::set<core::fleet::WorkerId> m_workers;
   };
 
+  /// Serves a call, or holds it if the store is silent. A call that is `released` from the hold is
+  /// not held again before the store has been silent again.
+  void Serve(Waiter waiter, bool released);
+  /// Answers the calls whose deadline has passed.
+  void ExpireWaiters(core::Time now);
+
+  // Calls that are held while the store is unavailable; coordinator_hold.cc.
+  [[nodiscard]] bool HoldsCalls() const noexcept;
+  void StartHold();
+  /// Returns how long the call waits at most.
+  [[nodiscard]] core::Duration WaitOf(const core::fleet::JobCall& call,
+                                      core::Duration deadline) const noexcept;
+  [[nodiscard]] core::fleet::JobCallReply GivenUpReply(const core::JobId& job) const;
+  void HoldCall(Waiter waiter);
+  void GiveUpHeld(const std::vector<std::uint64_t>& numbers, core::fleet::JobCallStatus status);
+  void DropHeldSubmissions(const core::fleet::JobCall& cancel);
+  /// Moves the calls into the hold that wait for a confirmation or for an append that is not open.
+  void HoldWaiters();
+  void UpdateHold();
+  /// Serves held calls after the store has responded, and as many writes as one append carries.
+  void ReleaseHeld();
+  /// Answers all held calls with kNotCoordinator.
+  void EndHold();
+  void EndHoldEpisode();
+
   [[nodiscard]] core::fleet::Candidate OwnCandidate() const;
   [[nodiscard]] core::Duration FirstCandidacyCheckDelay() const noexcept;
   void CheckCandidacy();
@@ -216,6 +246,9 @@
   bool m_cycle_scheduled = false;
   core::Time m_next_cycle;  ///< Earliest time of the next cycle.
   std::list<Waiter> m_waiters;
+  core::fleet::HeldCalls m_held;
+  std::map<std::uint64_t, Waiter> m_held_waiters;     ///< By the number in `m_held`.
+  bool m_holding = false;                             ///< The beginning of an episode was logged.
   std::set<core::AgentId> m_orders_in_flight;         ///< Agents with an orders call in flight.
   std::map<core::AgentId, core::Time> m_next_orders;  ///< Earliest retry of a failed orders call.
   core::Time m_confirmation_due;  ///< Of the timer for held answers; Time{}: none.
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -13,6 +13,7 @@
 #include "../rpc_metrics.h"
 #include "boot_clock.h"
 #include "call_router.h"
+#include "ebonypin/core/fleet/held_calls.h"
 #include "ebonypin/core/fleet/queue_table.h"
 #include "ebonypin/daemon/events.h"
 #include "ebonypin/daemon/metrics.h"
@@ -157,12 +158,15 @@
                                       .m_cpu_millis = m_settings.m_cpu_millis,
                                       .m_incarnation = NewIncarnation(),
                                       .m_jobs_topic = m_platform.m_jobs_topic,
-                                      .m_coordinator_topic = m_platform.m_coordinator_topic};
+                                      .m_coordinator_topic = m_platform.m_coordinator_topic,
+                                      .m_hold = m_settings.m_calls_hold};
     auto& ttl = options.m_leadership.m_ttl;
     ttl = std::max(ttl, m_settings.m_store_shortest_membership);
     m_coordinator = std::make_unique<CoordinatorService>(m_events, *m_store, *m_rpc, m_advice.get(),
                                                          m_machines.get(), std::move(options));
-    m_router = std::make_unique<CallRouter>(m_events, *m_rpc, *m_coordinator);
+    m_router = std::make_unique<CallRouter>(
+        m_events, *m_rpc, *m_coordinator,
+        CallRouterOptions{.m_holds = m_settings.m_calls_hold > core::Duration{}});
     WatchConfig();
     m_coordinator_watch =
         WatchCoordinator(m_events, *m_store, m_platform.m_coordinator_topic, kCoordinatorPollWait,
@@ -251,6 +255,7 @@
     m_fleet_metrics.Set("advice_calls_open",
                         static_cast<double>(state.m_advice_calls.m_open.size()));
     m_fleet_metrics.Set("steps_without_advice", static_cast<double>(state.m_unadvised_steps));
+    SetHoldMetrics(m_fleet_metrics, m_coordinator->Held());
   }
 
   void WatchConfig() {
@@ -378,6 +383,7 @@
     const core::Duration wait =
         call.m_deadline > core::Duration{} ? call.m_deadline : core::Duration{kDefaultDeadline};
     const auto kind = job.m_kind;
+    job.m_wait = core::fleet::HoldTime(m_settings.m_calls_hold, wait);
     m_router->Call(
         std::move(job), std::max<core::Duration>(wait - kDeadlineMargin, kDeadlineMargin),
         [answer, kind](const JobCallReply& reply) { answer(ToFrontAnswer(kind, reply), reply); });
--- a/packages/daemon/src/fleet/fleet_parts.h
+++ b/packages/daemon/src/fleet/fleet_parts.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "ebonypin/config/settings.h"
+#include "ebonypin/core/fleet/held_calls.h"
 #include "ebonypin/core/fleet/records.h"
 #include "ebonypin/daemon/metrics.h"
 #include "ebonypin/platform/users_platform.h"
@@ -47,6 +48,9 @@
   std::uint64_t m_count = 0;
 };
 
+/// Sets the metrics of the calls that the coordinator holds.
+void SetHoldMetrics(FleetMetrics& metrics, const core::fleet::HeldCalls& held);
+
 /// Starts the RPC endpoint of a fleet role. `serve` runs on `events`. Throws std::exception when
 /// the address cannot be used.
 [[nodiscard]] std::unique_ptr<wire::Rpc> StartRpc(
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -138,7 +138,7 @@
 
 struct AgentOrdersReply { accepted @0 :Bool; epoch @1 :UInt64; lastOrder @2 :UInt64; }
 
-struct JobCall { kind @0 :UInt8; job @1 :JobSpec; }
+struct JobCall { kind @0 :UInt8; job @1 :JobSpec; waitUs @2 :Int64; }
 
 struct JobCallReply {
   status @0 :UInt8;
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -326,11 +326,13 @@
 void Put(schema::fleet::JobCall::Builder out, const core::fleet::JobCall& in) {
   out.setKind(static_cast<std::uint8_t>(in.m_kind));
   Put(out.initJob(), in.m_job);
+  out.setWaitUs(in.m_wait.count());
 }
 
 core::fleet::JobCall Get(const schema::fleet::JobCall::Reader in) {
   return {.m_kind = GetEnum(in.getKind(), core::fleet::JobCallKind::kPending),
-          .m_job = Get(in.getJob())};
+          .m_job = Get(in.getJob()),
+          .m_wait = core::Duration{in.getWaitUs()}};
 }
 
 void Put(schema::fleet::JobCallReply::Builder out, const core::fleet::JobCallReply& in) {
