--- a/packages/wire/tests/earlier_versions_test.cc
+++ b/packages/wire/tests/earlier_versions_test.cc
@@ -46,6 +46,14 @@
     "1d000000320000000100000002000000030000000000000001000000320000006a6f622d31000000"
     "706c61746500000063000000000000007400000000000000696d616765000000";
 
+/// JobCall of 702bc52, which did not tell how long its sender waits.
+constexpr std::string_view kJobCall =
+    "00000000170000000000000001000100010015000000000000000000010001000200000000000000"
+    "00000000080005000200000001000000000000000000f03f00000000000000000000000003000000"
+    "00000000000000000000000000000000000000000000000000000000000000001100000032000000"
+    "1100000012000000110000000a000000110000002a00000011000000070000006a6f622d31000000"
+    "71000000000000000000000000000000706c6174650000000000000007000400";
+
 /// JobProgress of e66a1a0.
 constexpr std::string_view kProgress =
     "100f5002030307040107110932110d2f1105141f6a6f622d31100251040401110102110301010201"
@@ -77,6 +85,7 @@
   CPPUNIT_TEST_SUITE(EarlierVersionsTest);
   CPPUNIT_TEST(AReportOfAnEarlierAgentIsRead);
   CPPUNIT_TEST(OrdersOfAnEarlierCoordinatorAreRead);
+  CPPUNIT_TEST(ACallFromAnEarlierEntryIsRead);
   CPPUNIT_TEST(ProgressOfAnEarlierCoordinatorIsRestored);
   CPPUNIT_TEST(MembersOfEarlierCoordinatorsAreRestored);
   CPPUNIT_TEST_SUITE_END();
@@ -142,6 +151,20 @@
     CPPUNIT_ASSERT(core::Message{expected} == *decoded.m_value);
   }
 
+  /// Guards against a call that is held for a time that an earlier entry does not wait: without the
+  /// field, the time is zero, which stands for the timeout of that entry.
+  void ACallFromAnEarlierEntryIsRead() {
+    const fleet::JobCall expected{.m_kind = fleet::JobCallKind::kCancel,
+                                  .m_job = {.m_id = {"job-1"},
+                                            .m_policy = {.m_queue = {"q"}, .m_priority = 2},
+                                            .m_payload = "plate",
+                                            .m_times = 3},
+                                  .m_wait = {}};
+    const auto decoded = core::Capture([] { return DecodeMessage(Bytes(kJobCall)); });
+    CPPUNIT_ASSERT(decoded.Ok());
+    CPPUNIT_ASSERT(core::Message{expected} == *decoded.m_value);
+  }
+
   /// Guards against tasks that run again after a takeover by an upgraded entry, because it does not
   /// read from the store that they are done.
   void ProgressOfAnEarlierCoordinatorIsRestored() {
