Answer refused requests in the format of each API

Cause: the listener refused large bodies with plain text and status 413, where the API of entry documents status 400 and JSON, and cut off a client after 1 MiB, so its response was lost. Many small chunks of one body counted as head. The share of the API followed the setting only, although a process may have fewer descriptors. Change: each listener formats its refusals; a refused client's input is discarded up to 16 MiB within 2 s; the limit applies to each chunk header and to the trailers; the lower of the setting and the limit of the process counts.

--- a/packages/ctl/src/api_client.cc
+++ b/packages/ctl/src/api_client.cc
@@ -17,17 +17,6 @@
           .m_message = fmt::format("{} was asked but did not answer: {}", entry, reason)};
 }
 
-/// Returns the refusal of a body that the listener of the entry did not read.
-value TooLargeBody() {
-  auto error = value::object();
-  error["kind"] = value::string(std::string{core::ErrorKindName(core::ErrorKind::kTooLarge)});
-  error["message"] = value::string("the body is larger than the entry accepts");
-  auto body = value::object();
-  body["answer"] = value::string("not_run");
-  body["error"] = error;
-  return body;
-}
-
 /// Sends `request` to one entry.
 ApiOutcome CallEntry(const std::string& entry, const ApiRequest& request) {
   ApiOutcome outcome{.m_entry = entry};
@@ -40,11 +29,6 @@
     if (request.m_body) message.set_body(*request.m_body);
     const auto response = client.request(message).get();
     outcome.m_maybe_sent = true;
-    if (response.status_code() == web::http::status_codes::RequestEntityTooLarge) {
-      outcome.m_status = response.status_code();
-      outcome.m_body = TooLargeBody();
-      return outcome;
-    }
     outcome.m_body = response.extract_json(true).get();
     if (!outcome.m_body.is_object()) throw web::json::json_exception("no JSON object");
     outcome.m_status = response.status_code();
--- a/packages/daemon/src/entry/http_server.cc
+++ b/packages/daemon/src/entry/http_server.cc
@@ -45,6 +45,20 @@
                   .m_retry_after = kStoppedRetryAfter});
 }
 
+/// Returns the response to a request that the listener refuses. A body over the limit has status
+/// 400, as docs/http_api.md says; the other refusals keep their status.
+http::Response ListenerRefusal(const unsigned status, const std::string& reason,
+                               const std::size_t max_body_bytes) {
+  const bool too_large = status == status_codes::RequestEntityTooLarge;
+  const auto answer =
+      too_large
+          ? Refusal({.m_kind = core::ErrorKind::kTooLarge,
+                     .m_message = "the body is larger than " + std::to_string(max_body_bytes) +
+                                  " bytes; send less or a reference to the data"})
+          : Refusal(Invalid(reason));
+  return {.m_status = too_large ? answer.m_status : status, .m_body = answer.m_body.serialize()};
+}
+
 }  // namespace
 
 HttpServer::HttpServer(std::string address, const http::ServerLimits& limits)
@@ -63,8 +77,12 @@
 
 void HttpServer::Open() {
   m_server = std::make_unique<http::Server>(
-      m_address, m_limits, [this](const http::Request& request, http::Respond respond) {
+      m_address, m_limits,
+      [this](const http::Request& request, http::Respond respond) {
         Serve(request, std::move(respond));
+      },
+      [limit = m_limits.m_max_body_bytes](const unsigned status, const std::string& reason) {
+        return ListenerRefusal(status, reason, limit);
       });
   m_open = true;
 }
--- a/packages/daemon/src/listener_limits.cc
+++ b/packages/daemon/src/listener_limits.cc
@@ -1,5 +1,7 @@
 #include "listener_limits.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 
 #include "ebonypin/core/listener_share.h"
@@ -25,12 +27,20 @@
   return limits.m_max_head_bytes + limits.m_max_body_bytes;
 }
 
+/// Returns the number of descriptors that the process may use: the setting, or the limit of the
+/// process if that is lower.
+std::uint32_t Descriptors(const config::Settings& settings) noexcept {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return settings.m_descriptors;
+  return static_cast<std::uint32_t>(std::min<rlim_t>(settings.m_descriptors, limit.rlim_cur));
+}
+
 }  // namespace
 
 http::ServerLimits ApiLimits(const config::Settings& settings, const std::size_t max_body_bytes) {
   auto limits = SettingLimits(settings, max_body_bytes);
   const auto share = core::ShareOfApi(
-      {.m_memory_bytes = settings.m_memory_mb * kMiB, .m_descriptors = settings.m_descriptors},
+      {.m_memory_bytes = settings.m_memory_mb * kMiB, .m_descriptors = Descriptors(settings)},
       RequestBytes(limits));
   limits.m_max_connections =
       settings.m_max_connections == 0 ? share.m_max_connections : settings.m_max_connections;
--- a/packages/http/include/ebonypin/http/server.h
+++ b/packages/http/include/ebonypin/http/server.h
@@ -67,6 +67,9 @@
 using Respond = std::function<void(Response, Sent)>;
 /// Called on the thread of the server for each complete request. Must not block.
 using Handler = std::function<void(const Request&, Respond)>;
+/// Returns the response to a request that the server refuses with `status`: 400, 408, 413 or 431.
+/// Called on the thread of the server. The connection is closed after the response.
+using Refusal = std::function<Response(unsigned status, const std::string& reason)>;
 
 /// What the server has done since its start.
 struct ServerCounters {
@@ -80,7 +83,9 @@
 class Server {
  public:
   /// Begins to serve at `address`, "ip:port". Throws std::exception when the address is in use.
-  Server(const std::string& address, const ServerLimits& limits, Handler handler);
+  /// Without `refusal`, requests beyond the limits get the reason as plain text.
+  Server(const std::string& address, const ServerLimits& limits, Handler handler,
+         Refusal refusal = {});
   /// Stops accepting and reading, writes the responses that have been given, and closes all
   /// connections. Waits for the handlers that are running. Later ones are not called.
   ~Server();
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -26,7 +26,7 @@
 /// After the last response, input is discarded for so long, because a reset caused by unread bytes
 /// could reach the client before the response.
 constexpr core::Duration kLingerTime = std::chrono::seconds{2};
-constexpr std::size_t kLingerBytes = std::size_t{1} << 20U;
+constexpr std::size_t kLingerBytes = std::size_t{16} << 20U;
 
 /// A client that has ended its sending may still read the response. Callers wait for about 3 s.
 constexpr core::Duration kHalfClosedTime = std::chrono::seconds{5};
@@ -137,13 +137,13 @@
       Dispatch();
       return false;
     case ParseVerdict::kHeadTooLarge:
-      Refuse(431, CloseReason::kHeadLimit, "The head of the request is too large; send less.\n");
+      Refuse(431, CloseReason::kHeadLimit, "The head of the request is too large; send less.");
       return false;
     case ParseVerdict::kBodyTooLarge:
-      Refuse(413, CloseReason::kBodyLimit, "The body of the request is too large; send less.\n");
+      Refuse(413, CloseReason::kBodyLimit, "The body of the request is too large; send less.");
       return false;
     case ParseVerdict::kMalformed:
-      Refuse(400, CloseReason::kMalformed, "The request is not valid HTTP/1.1; correct it.\n");
+      Refuse(400, CloseReason::kMalformed, "The request is not valid HTTP/1.1; correct it.");
       return false;
   }
   return false;
@@ -205,7 +205,7 @@
   if (!Charge(ConnectionPhase::kIdle, 0)) return;
   m_keeps_alive = true;
   m_closes = true;
-  Write({.m_status = status, .m_body = text, .m_content_type = "text/plain"}, nullptr);
+  Write(m_listener.RefusalOf(status, text), nullptr);
 }
 
 void Connection::Write(Response response, Sent sent) {
@@ -265,12 +265,12 @@
       return CloseFreeingOutput();
     case Stage::kHead:
       if (m_parser) {
-        return Refuse(408, CloseReason::kHeadTimeout, "The head of the request came too late.\n");
+        return Refuse(408, CloseReason::kHeadTimeout, "The head of the request came too late.");
       }
       m_listener.Count(CloseReason::kHeadTimeout);
       return Close();
     case Stage::kBody:
-      return Refuse(408, CloseReason::kBodyTimeout, "The body of the request came too late.\n");
+      return Refuse(408, CloseReason::kBodyTimeout, "The body of the request came too late.");
     case Stage::kWriting:
       return Abort(CloseReason::kWriteTimeout);
     case Stage::kLingering:
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -104,13 +104,15 @@
   }
 }
 
-Listener::Listener(const std::string& address, const ServerLimits& limits, Handler handler)
+Listener::Listener(const std::string& address, const ServerLimits& limits, Handler handler,
+                   Refusal refusal)
     : m_work(m_context.get_executor()),
       m_acceptor(m_context),
       m_accept_timer(m_context),
       m_sweep_timer(m_context),
       m_stop_timer(m_context),
       m_handler(std::move(handler)),
+      m_refusal(std::move(refusal)),
       m_limits(limits),
       m_table{.m_limits = TableLimits(limits)} {
   const auto endpoint = Resolve(m_context, address);
@@ -125,6 +127,11 @@
 
 Listener::~Listener() = default;
 
+Response Listener::RefusalOf(const unsigned status, const std::string& reason) const {
+  if (m_refusal) return m_refusal(status, reason);
+  return {.m_status = status, .m_body = reason, .m_content_type = "text/plain"};
+}
+
 void Listener::Start() {
   Accept();
   m_thread = StartThread([this] { Run(); });
--- a/packages/http/src/listener.h
+++ b/packages/http/src/listener.h
@@ -37,7 +37,8 @@
 
 class Listener : public std::enable_shared_from_this<Listener> {
  public:
-  Listener(const std::string& address, const ServerLimits& limits, Handler handler);
+  Listener(const std::string& address, const ServerLimits& limits, Handler handler,
+           Refusal refusal);
   ~Listener();
 
   void Start();
@@ -65,6 +66,9 @@
   /// Calls the handler.
   void Handle(const Request& request, RequestKey key);
 
+  /// Returns the response to a request that is refused.
+  [[nodiscard]] Response RefusalOf(unsigned status, const std::string& reason) const;
+
   void Count(CloseReason reason) noexcept;
 
   /// Forgets a connection that is closed.
@@ -105,6 +109,7 @@
   bool m_sweeping = false;
   bool m_stopping = false;
   const Handler m_handler;
+  const Refusal m_refusal;
   ServerLimits m_limits;
   core::ConnectionId m_last_id = 0;
   core::ConnectionTable m_table;
--- a/packages/http/src/request_parser.cc
+++ b/packages/http/src/request_parser.cc
@@ -49,7 +49,10 @@
     const std::size_t consumed =
         put(boost::asio::const_buffer(data.data() + used, data.size() - used), code);
     used += consumed;
-    lines += consumed - (m_request.m_body.size() - body);
+    const std::size_t body_bytes = m_request.m_body.size() - body;
+    // The limit is on each chunk header and on the trailers: a body of many small chunks is valid.
+    if (m_head_complete && body_bytes > 0) lines = 0;
+    lines += consumed - body_bytes;
     const bool needs_more = code == error::need_more;
     const std::size_t pending = needs_more ? data.size() - used : 0;
     if (lines + pending > m_max_head_bytes) return {ParseVerdict::kHeadTooLarge, used};
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -17,8 +17,9 @@
   using Listener::Listener;
 };
 
-Server::Server(const std::string& address, const ServerLimits& limits, Handler handler)
-    : m_impl(std::make_shared<Impl>(address, limits, std::move(handler))) {
+Server::Server(const std::string& address, const ServerLimits& limits, Handler handler,
+               Refusal refusal)
+    : m_impl(std::make_shared<Impl>(address, limits, std::move(handler), std::move(refusal))) {
   m_impl->Start();
 }
 
