--- a/packages/daemon/scenarios/daemon_process.cc
+++ b/packages/daemon/scenarios/daemon_process.cc
@@ -26,6 +26,22 @@
   return other != nullptr ? other : EBONYPIN_DAEMON;
 }
 
+/// Returns the words of a command that sets `limits` and then becomes the command that is appended,
+/// or nothing when there is no limit. The shell sets them before the program starts; setting them
+/// around the start would limit the threads of the test as well.
+std::vector<std::string> LimitingCommand(const ProcessLimits& limits) {
+  constexpr std::size_t kKibibyte = 1024;  // `ulimit -v` counts in these.
+  std::string script;
+  if (limits.m_descriptors > 0) {
+    script += "ulimit -n " + std::to_string(limits.m_descriptors) + " && ";
+  }
+  if (limits.m_address_space > 0) {
+    script += "ulimit -v " + std::to_string(limits.m_address_space / kKibibyte) + " && ";
+  }
+  if (script.empty()) return {};
+  return {"/bin/sh", "-c", script + "exec \"$@\"", "sh"};
+}
+
 std::string WriteSettings(const std::string& settings) {
   auto file = (std::filesystem::temp_directory_path() / "ebonypin-daemon-XXXXXX").string();
   const int descriptor = ::mkstemp(file.data());
@@ -38,9 +54,10 @@
 }  // namespace
 
 DaemonProcess::DaemonProcess(const std::string& settings, const std::vector<std::string>& flags,
-                             const std::string& log_file)
+                             const std::string& log_file, const ProcessLimits& limits)
     : m_settings_file(WriteSettings(settings)) {
-  std::vector<std::string> words{ProgramFile(), "--settings=" + m_settings_file};
+  auto words = LimitingCommand(limits);
+  words.insert(words.end(), {ProgramFile(), "--settings=" + m_settings_file});
   words.insert(words.end(), flags.begin(), flags.end());
   std::vector<char*> arguments;
   arguments.reserve(words.size() + 1);
@@ -61,7 +78,7 @@
   if (error != 0) {
     m_pid = 0;
     std::filesystem::remove(m_settings_file);
-    throw std::runtime_error("cannot start " + words[0]);
+    throw std::runtime_error("cannot start " + ProgramFile());
   }
 }
 
--- a/packages/daemon/scenarios/daemon_process.h
+++ b/packages/daemon/scenarios/daemon_process.h
@@ -6,18 +6,25 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
 namespace ebonypin::daemon {
 
+/// Limits of a process from its start on. Zero leaves a limit as that of the test.
+struct ProcessLimits {
+  std::size_t m_descriptors = 0;
+  std::size_t m_address_space = 0;  ///< In bytes.
+};
+
 class DaemonProcess {
  public:
-  /// Starts the daemon with the INI text `settings` and further `flags`. Its output goes to
-  /// `log_file`, or to that of the test when it is empty. Throws std::runtime_error when it cannot
-  /// be started.
+  /// Starts the daemon with the INI text `settings` and further `flags`, under `limits`. Its output
+  /// goes to `log_file`, or to that of the test when it is empty. Throws std::runtime_error when it
+  /// cannot be started.
   DaemonProcess(const std::string& settings, const std::vector<std::string>& flags,
-                const std::string& log_file = {});
+                const std::string& log_file = {}, const ProcessLimits& limits = {});
   /// Kills the process if it still runs.
   ~DaemonProcess();
   DaemonProcess(const DaemonProcess&) = delete;
