--- a/packages/core/tests/fleet/held_calls_test.cc
+++ b/packages/core/tests/fleet/held_calls_test.cc
@@ -88,7 +88,8 @@
                                         [now](const Time time) { return time <= now; });
           due != answers.end()) {
         answers.erase(due);
-        const auto batch = Release(m_held, now, {.m_calls = 200, .m_bytes = 512 * 1024});
+        const auto batch =
+            Release(m_held, now, {.m_calls = 200, .m_bytes = std::size_t{512} * 1024});
         m_largest_batch = std::max(m_largest_batch, batch.size());
         for (const auto call : batch) m_released[call] = now;
         if (!batch.empty() && now >= kStart + m_length) answers.push_back(now + 2ms);
--- a/packages/daemon/tests/listener_limits_test.cc
+++ b/packages/daemon/tests/listener_limits_test.cc
@@ -41,7 +41,7 @@
                                 .m_max_buffered_bytes = std::size_t{8} << 20U};
     CPPUNIT_ASSERT(ApiLimits(set, kMaxJobBodyBytes) == expected);
     expected.m_max_connections = 64;
-    expected.m_max_buffered_bytes = (std::size_t{1} << 20U) + 2 * (4096 + 8192);
+    expected.m_max_buffered_bytes = (std::size_t{1} << 20U) + 2 * std::size_t{4096 + 8192};
     CPPUNIT_ASSERT(SideLimits(set, kMaxHeartbeatBytes) == expected);
     CPPUNIT_ASSERT_EQUAL(kMaxProbeBodyBytes, SideLimits(set, kMaxProbeBodyBytes).m_max_body_bytes);
   }
