--- a/packages/http/include/ebonypin/http/server.h
+++ b/packages/http/include/ebonypin/http/server.h
@@ -22,7 +22,7 @@
 
 /// Limits of one listener. No client within the documented limits of the API reaches the defaults.
 struct ServerLimits {
-  /// Request line and headers, in bytes; also the chunk headers and trailers of one body.
+  /// Request line and headers, in bytes; also each chunk header, and the trailers of a body.
   std::size_t m_max_head_bytes = std::size_t{16} << 10U;
   std::size_t m_max_body_bytes = std::size_t{256} << 10U;
   /// From the accept, or from the first byte of a later request, to the end of the head.
