Let clients that do not read be closed for others

Callers saw: connections that sent requests and read no response kept every other caller out for write_timeout (30 s), and for good when they came again; at the readiness listener the probe of the load balancer was reset, so a stranger could take an entry out of rotation.

Cause: a connection whose response was being written counted as one whose request a handler has, and such a connection is never closed for another one.

Change: the table of connections knows the writing of a response as a phase of its own. A complete response that is cut says no more than a lost connection, so it may be closed. Connections whose client has not taken the response within a second are closed first, longest first; others that write are closed last. The second counts from the beginning of the response, so that bytes taken now and then do not protect a connection. From kHandled only the response may grow without a check.

Evidence: ResponsesThatAreNeverReadOnEveryConnection, 64 clients at 16 connections. ClosesThoseFirstThatDoNotTakeTheirResponse replays the decision, and the generated crowd draws the new phase; the numbers of its actions and the length of a step changed with it.

--- a/packages/core/include/ebonypin/core/connection_table.h
+++ b/packages/core/include/ebonypin/core/connection_table.h
@@ -1,9 +1,11 @@
 /// Decides which connections of a server may use memory and which are closed when memory,
 /// connections or descriptors run out.
 ///
-/// Connections are closed in this order: idle ones, longest idle first; those that read a head,
-/// oldest first; those that read a body, oldest first. A connection whose request a handler has is
-/// never closed, because the handler may have acted on it.
+/// Connections are closed in this order: those whose client has not taken a response within
+/// kPromptWrite, longest first; idle ones, longest idle first; those that read a head, oldest
+/// first; those that read a body, oldest first; the other ones that write a response, oldest first.
+/// A connection whose request a handler has is never closed, because the handler may have acted on
+/// it. Once its response is complete, closing the connection says no more than any lost connection.
 #pragma once
 
 #include <cstddef>
@@ -20,8 +22,12 @@
 
 using ConnectionId = std::uint64_t;
 
-/// In the order in which connections are closed.
-enum class ConnectionPhase : std::uint8_t { kIdle, kHead, kBody, kHandled };
+/// In the order in which connections are closed, apart from those that write for too long.
+enum class ConnectionPhase : std::uint8_t { kIdle, kHead, kBody, kWriting, kHandled };
+
+/// Time in which an ordinary client takes a response. Most responses fit into the buffers of the
+/// kernel, so that their time in phase kWriting is zero.
+inline constexpr Duration kPromptWrite = std::chrono::seconds{1};
 
 struct ConnectionLimits {
   std::size_t m_max_connections = 1024;
@@ -59,12 +65,13 @@
 
 /// Moves a connection to `phase`, in which it holds `bytes`. Connections that hold bytes are closed
 /// until these fit. The connection is refused, and removed, when they do not fit even without all
-/// others that may be closed. In phase kHandled its bytes change without a check.
+/// others that may be closed. From phase kHandled to kHandled or kWriting its bytes change without
+/// a check, since the request may have been acted on.
 ConnectionVerdict MoveConnection(ConnectionTable& table, ConnectionId id, ConnectionPhase phase,
                                  std::size_t bytes, Time now);
 
 /// Removes and returns the connection to close when the process has no descriptors or memory left.
-std::optional<ConnectionId> TakeConnectionToClose(ConnectionTable& table);
+std::optional<ConnectionId> TakeConnectionToClose(ConnectionTable& table, Time now);
 
 /// Does nothing when the connection is not in the table.
 void RemoveConnection(ConnectionTable& table, ConnectionId id);
--- a/packages/core/src/connection_table.cc
+++ b/packages/core/src/connection_table.cc
@@ -29,12 +29,19 @@
   if (record.m_bytes > 0) table.m_closable_memory.erase(KeyOf(id, record));
 }
 
+/// Returns the connection of `order`, which is not empty, that is closed first.
+ConnectionId FirstToClose(const ConnectionOrder& order, const Time now) {
+  const auto writing = order.lower_bound({ConnectionPhase::kWriting, Time::min(), 0});
+  const bool is_late = writing != order.end() && now - std::get<Time>(*writing) >= kPromptWrite;
+  return std::get<ConnectionId>(is_late ? *writing : *order.begin());
+}
+
 }  // namespace
 
 ConnectionVerdict AddConnection(ConnectionTable& table, const ConnectionId id, const Time now) {
   ConnectionVerdict verdict;
   while (table.m_records.size() >= table.m_limits.m_max_connections) {
-    const auto closed = TakeConnectionToClose(table);
+    const auto closed = TakeConnectionToClose(table, now);
     if (!closed) {
       verdict.m_admitted = false;
       return verdict;
@@ -59,7 +66,9 @@
   ConnectionRecord& record = found->second;
   Unindex(table, id, record);
   const std::size_t limit = table.m_limits.m_max_bytes;
-  const bool checked = record.m_phase != ConnectionPhase::kHandled && bytes > record.m_bytes;
+  const bool is_response =
+      record.m_phase == ConnectionPhase::kHandled && phase >= ConnectionPhase::kWriting;
+  const bool checked = !is_response && bytes > record.m_bytes;
   // Closing others would be of no use when the bytes do not fit even then.
   if (checked && (bytes > limit || table.m_handled_bytes > limit - bytes)) {
     table.m_records.erase(found);
@@ -68,7 +77,7 @@
   }
   while (checked && table.m_bytes > limit - bytes) {
     // Idle connections without a buffer stay open: closing them would free no memory.
-    const auto closed = std::get<ConnectionId>(*table.m_closable_memory.begin());
+    const auto closed = FirstToClose(table.m_closable_memory, now);
     RemoveConnection(table, closed);
     verdict.m_close.push_back(closed);
   }
@@ -79,9 +88,9 @@
   return verdict;
 }
 
-std::optional<ConnectionId> TakeConnectionToClose(ConnectionTable& table) {
+std::optional<ConnectionId> TakeConnectionToClose(ConnectionTable& table, const Time now) {
   if (table.m_closable.empty()) return std::nullopt;
-  const auto id = std::get<ConnectionId>(*table.m_closable.begin());
+  const auto id = FirstToClose(table.m_closable, now);
   RemoveConnection(table, id);
   return id;
 }
--- a/packages/core/tests/connection_table_test.cc
+++ b/packages/core/tests/connection_table_test.cc
@@ -14,12 +14,15 @@
 using Ids = std::vector<ConnectionId>;
 
 // Actions of the generated crowd besides moves to the phase of that number.
-constexpr int kRemove = 4;
-constexpr int kTake = 5;
+constexpr int kRemove = 5;
+constexpr int kTake = 6;
+/// Several steps pass within kPromptWrite.
+constexpr auto kStep = 300ms;
 
 class ConnectionTableTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConnectionTableTest);
   CPPUNIT_TEST(ClosesIdleThenHeadsThenBodies);
+  CPPUNIT_TEST(ClosesThoseFirstThatDoNotTakeTheirResponse);
   CPPUNIT_TEST(MemoryIsTakenFromThoseThatHoldIt);
   CPPUNIT_TEST(RequestThatNeverFitsClosesNoOther);
   CPPUNIT_TEST(CrowdStaysWithinTheLimits);
@@ -37,13 +40,31 @@
     MoveConnection(table, 7, ConnectionPhase::kIdle, 0, At(13));
     CPPUNIT_ASSERT(AddConnection(table, 8, At(20)).m_close == Ids{7});
     for (const ConnectionId expected : {6, 4, 5, 8, 3, 2}) {
-      CPPUNIT_ASSERT(TakeConnectionToClose(table) == expected);
+      CPPUNIT_ASSERT(TakeConnectionToClose(table, At(20)) == expected);
     }
-    CPPUNIT_ASSERT(!TakeConnectionToClose(table));
+    CPPUNIT_ASSERT(!TakeConnectionToClose(table, At(20)));
     table.m_limits.m_max_connections = 1;
     CPPUNIT_ASSERT(!AddConnection(table, 9, At(21)).m_admitted);
   }
 
+  /// Guards against clients that do not read and so keep connections and memory from all others,
+  /// and against closing a client that has not had the time to read.
+  void ClosesThoseFirstThatDoNotTakeTheirResponse() {
+    ConnectionTable table{.m_limits = {.m_max_connections = 5, .m_max_bytes = 100}};
+    for (ConnectionId id = 1; id <= 5; ++id) AddConnection(table, id, At(id));
+    MoveConnection(table, 1, ConnectionPhase::kIdle, 0, At(6));
+    MoveConnection(table, 2, ConnectionPhase::kBody, 10, At(6));
+    MoveConnection(table, 3, ConnectionPhase::kWriting, 20, At(8));
+    MoveConnection(table, 4, ConnectionPhase::kWriting, 20, At(7));
+    MoveConnection(table, 5, ConnectionPhase::kWriting, 20, At(9));
+    CPPUNIT_ASSERT(MoveConnection(table, 2, ConnectionPhase::kBody, 50, At(9)).m_close == Ids{4});
+    CPPUNIT_ASSERT(AddConnection(table, 6, At(9)).m_close.empty());
+    CPPUNIT_ASSERT(AddConnection(table, 7, At(9)).m_close == Ids{3});
+    CPPUNIT_ASSERT(AddConnection(table, 8, At(9)).m_close == Ids{1});
+    CPPUNIT_ASSERT(TakeConnectionToClose(table, At(9)) == 6);
+    CPPUNIT_ASSERT(TakeConnectionToClose(table, At(9) + kPromptWrite) == 5);
+  }
+
   /// Guards against closing idle callers when that frees no memory.
   void MemoryIsTakenFromThoseThatHoldIt() {
     ConnectionTable table{.m_limits = {.m_max_bytes = 100}};
@@ -77,9 +98,9 @@
       const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, std::size_t>>>(
           rc::gen::tuple(rc::gen::inRange(0, 20), rc::gen::inRange(0, kTake + 1),
                          rc::gen::inRange<std::size_t>(0, 120)));
-      ConnectionId second = 0;
+      Time now;
       for (const auto& [index, action, bytes] : steps) {
-        Step(table, static_cast<ConnectionId>(index), action, bytes, At(++second));
+        Step(table, static_cast<ConnectionId>(index), action, bytes, now += kStep);
       }
     }));
   }
@@ -96,42 +117,47 @@
       RemoveConnection(table, id);
       RC_ASSERT(!table.m_records.contains(id));
     } else if (action == kTake) {
-      const auto closed = TakeConnectionToClose(table);
-      const auto order = InOrder(before, {}, 0);
+      const auto closed = TakeConnectionToClose(table, now);
+      const auto order = InOrder(before, {}, 0, now);
       RC_ASSERT((closed ? *closed == order.front() : order.empty()));
     } else if (!before.contains(id)) {
       const auto verdict = AddConnection(table, id, now);
-      CheckClosed(verdict, InOrder(before, {}, 0));
+      CheckClosed(verdict, InOrder(before, {}, 0, now));
       // One more would be closed without need.
       RC_ASSERT((verdict.m_close.empty() ||
                  before.size() - verdict.m_close.size() + 1 == table.m_limits.m_max_connections));
       RC_ASSERT(verdict.m_admitted == table.m_records.contains(id));
     } else {
       const auto& record = before.at(id);
-      if (record.m_phase == ConnectionPhase::kHandled) bytes = std::min(bytes, record.m_bytes);
-      const auto verdict =
-          MoveConnection(table, id, static_cast<ConnectionPhase>(action), bytes, now);
-      CheckClosed(verdict, InOrder(before, id, 1));
+      const auto phase = static_cast<ConnectionPhase>(action);
+      // The bytes of a request in progress and of its response are not checked.
+      if (record.m_phase == ConnectionPhase::kHandled && phase >= ConnectionPhase::kWriting) {
+        bytes = std::min(bytes, record.m_bytes);
+      }
+      const auto verdict = MoveConnection(table, id, phase, bytes, now);
+      CheckClosed(verdict, InOrder(before, id, 1, now));
       RC_ASSERT(
           (verdict.m_close.empty() ||
            table.m_bytes + before.at(verdict.m_close.back()).m_bytes > table.m_limits.m_max_bytes));
       RC_ASSERT(verdict.m_admitted == table.m_records.contains(id));
     }
-    CheckSums(table);
+    CheckSums(table, now);
   }
 
   /// The connections that may be closed and hold `least_bytes`, other than `asking`.
   static Ids InOrder(const Records& records, const std::optional<ConnectionId> asking,
-                     const std::size_t least_bytes) {
-    std::vector<std::tuple<ConnectionPhase, Time, ConnectionId>> order;
+                     const std::size_t least_bytes, const Time now) {
+    std::vector<std::tuple<bool, ConnectionPhase, Time, ConnectionId>> order;
     for (const auto& [id, record] : records) {
       if (id == asking || record.m_bytes < least_bytes) continue;
       if (record.m_phase == ConnectionPhase::kHandled) continue;
-      order.emplace_back(record.m_phase, record.m_since, id);
+      const bool is_late =
+          record.m_phase == ConnectionPhase::kWriting && now - record.m_since >= kPromptWrite;
+      order.emplace_back(!is_late, record.m_phase, record.m_since, id);
     }
     std::sort(order.begin(), order.end());
     Ids ids;
-    for (const auto& [phase, since, id] : order) ids.push_back(id);
+    for (const auto& [is_prompt, phase, since, id] : order) ids.push_back(id);
     return ids;
   }
 
@@ -141,7 +167,7 @@
     RC_ASSERT((verdict.m_admitted || verdict.m_close.empty()));
   }
 
-  static void CheckSums(const ConnectionTable& table) {
+  static void CheckSums(const ConnectionTable& table, const Time now) {
     std::size_t bytes = 0;
     std::size_t handled = 0;
     for (const auto& [id, record] : table.m_records) {
@@ -152,8 +178,8 @@
     RC_ASSERT(table.m_handled_bytes == handled);
     RC_ASSERT(bytes <= table.m_limits.m_max_bytes);
     RC_ASSERT(table.m_records.size() <= table.m_limits.m_max_connections);
-    RC_ASSERT(table.m_closable.size() == InOrder(table.m_records, {}, 0).size());
-    RC_ASSERT(table.m_closable_memory.size() == InOrder(table.m_records, {}, 1).size());
+    RC_ASSERT(table.m_closable.size() == InOrder(table.m_records, {}, 0, now).size());
+    RC_ASSERT(table.m_closable_memory.size() == InOrder(table.m_records, {}, 1, now).size());
   }
 };
 
--- a/packages/daemon/scenarios/attacked_process.cc
+++ b/packages/daemon/scenarios/attacked_process.cc
@@ -69,8 +69,10 @@
 
 }  // namespace
 
-AttackedProcess::AttackedProcess(const AttackedListener listener)
+AttackedProcess::AttackedProcess(const AttackedListener listener, std::string limits,
+                                 const std::string& log_file)
     : m_listener(listener),
+      m_limits(std::move(limits)),
       m_bounds{.m_memory = listener == AttackedListener::kControl ? kAgentMemory : kEntryMemory,
                .m_descriptors = kMaxDescriptors - kReservedDescriptors},
       m_address(FreeAddress()),
@@ -79,7 +81,7 @@
   const auto address_space =
       m_listener == AttackedListener::kEntryApi ? kEntryRoleAddressSpace : kAddressSpace;
   m_process = std::make_unique<DaemonProcess>(
-      Settings(), std::vector<std::string>{}, "/dev/null",
+      Settings() + "[limits]\n" + m_limits, std::vector<std::string>{}, log_file,
       ProcessLimits{.m_descriptors = kMaxDescriptors, .m_address_space = address_space});
   m_pid = m_process->Pid();
   if (!WaitUntil([&] { return RequestOnce(m_address, OrdinaryRequest(false)) == 200; })) {
--- a/packages/daemon/scenarios/attacked_process.h
+++ b/packages/daemon/scenarios/attacked_process.h
@@ -24,8 +24,10 @@
 class AttackedProcess {
  public:
   /// Starts the process that has the listener, with lowered limits, and waits until it answers.
-  /// Throws std::runtime_error when it does not come up within 20 s.
-  explicit AttackedProcess(AttackedListener listener);
+  /// `limits` are further lines of the section [limits]; its log goes to `log_file`. Throws
+  /// std::runtime_error when it does not come up within 20 s.
+  explicit AttackedProcess(AttackedListener listener, std::string limits = {},
+                           const std::string& log_file = "/dev/null");
   ~AttackedProcess();
   AttackedProcess(const AttackedProcess&) = delete;
   AttackedProcess& operator=(const AttackedProcess&) = delete;
@@ -50,6 +52,7 @@
   void Sample();
 
   const AttackedListener m_listener;
+  const std::string m_limits;
   const ProcessBounds m_bounds;
   const std::string m_address;
   const std::string m_standin_address;
--- a/packages/daemon/scenarios/uncontrolled_clients_test.cc
+++ b/packages/daemon/scenarios/uncontrolled_clients_test.cc
@@ -24,6 +24,9 @@
 /// More than the process has descriptors.
 constexpr std::size_t kCrowd = 500;
 constexpr std::size_t kSmallBuffer = 4096;
+/// The time-out is longer than any test, so that none passes because it has expired.
+constexpr auto kFewConnections = "connections = 16\nwrite_timeout = 600s\n";
+constexpr std::size_t kMoreThanFewConnections = 64;
 
 class UncontrolledClientsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UncontrolledClientsTest);
@@ -40,6 +43,7 @@
   CPPUNIT_TEST(BodiesBelowTheLimitThatNeverEnd);
   CPPUNIT_TEST(MoreRequestsThanResponses);
   CPPUNIT_TEST(ResponsesThatAreNeverRead);
+  CPPUNIT_TEST(ResponsesThatAreNeverReadOnEveryConnection);
   CPPUNIT_TEST(SilentConnections);
   CPPUNIT_TEST(ConnectionsSilentWithinAHead);
   CPPUNIT_TEST(ConnectionsSilentWithinABody);
@@ -151,6 +155,17 @@
     Check(process, load);
   }
 
+  /// Guards against clients that keep every connection of the listener by not reading responses.
+  void ResponsesThatAreNeverReadOnEveryConnection() {
+    AttackedProcess process(Target(), kFewConnections);
+    ClientLoad load(process.Address(), kMoreThanFewConnections, kSmallBuffer);
+    load.Send({.m_repeated = LongRequest(process),
+               .m_repetitions = kBytes,
+               .m_reads = false,
+               .m_reopenings = kReopenings});
+    Check(process, load);
+  }
+
   /// Guards against connections without a request that use all descriptors.
   void SilentConnections() { Crowd({}); }
 
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -190,7 +190,7 @@
     return CallSent(sent, "the request is no longer in progress");
   }
   // The request counts until the response is written. Handled connections are never refused.
-  (void)Charge(ConnectionPhase::kHandled, m_charged + response.m_body.size());
+  (void)Charge(ConnectionPhase::kWriting, m_charged + response.m_body.size());
   m_closes = response.m_closes || !m_keeps_alive;
   Write(std::move(response), std::move(sent));
 }
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -192,7 +192,7 @@
 
 void Listener::PauseAccepting(const error_code& error) {
   if (IsLackOfResources(error)) {
-    if (const auto id = core::TakeConnectionToClose(m_table)) {
+    if (const auto id = core::TakeConnectionToClose(m_table, Now())) {
       CloseAll({*id}, CloseReason::kDescriptors);
     }
   }
