Close the longest idle RPC connection instead of the newest

Callers saw: with 1,100 silent connections on the RPC port of the coordinator an entry that started answered every submission with 504, its readiness was 200, and no process wrote a line. It worked again when the silent connections were gone. Silent connections could also use the descriptors that the job API needs.

Cause: incoming connections were bounded to 1,024 by closing further ones at once, and the limit did not follow from the descriptors. Nothing closed an idle connection, and one whose peer has lost power or its link stays open for good, so that such losses add up at a coordinator that lives long.

Change: the table of connections decides for RPC, too. For a further connection the longest idle one is closed, which its peer opens again with its next call; one with a call in progress is not closed. The kernel probes idle peers, and a connection ends when the peer has answered nothing for a minute. [limits] rpc_connections sets the limit; unset it is a quarter of the descriptors above 200, 975 of 4,100. Connections that are closed are counted, and E633 reports them with listener=rpc. The descriptions of head_bytes and body_bytes name the statuses that the listeners use.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -68,8 +68,9 @@
   core::Duration m_idle_timeout = std::chrono::seconds{15};
   core::Duration m_body_timeout = std::chrono::seconds{30};
   core::Duration m_write_timeout = std::chrono::seconds{30};
-  std::uint32_t m_max_connections = 0;  ///< Of one listener; 0: derived, see listener_share.h.
-  std::uint32_t m_max_buffered_mb = 0;  ///< Of one listener; 0: derived.
+  std::uint32_t m_max_connections = 0;      ///< Of one listener; 0: derived, see listener_share.h.
+  std::uint32_t m_max_buffered_mb = 0;      ///< Of one listener; 0: derived.
+  std::uint32_t m_max_rpc_connections = 0;  ///< Incoming; 0: derived, see listener_share.h.
 
   friend bool operator==(const Settings&, const Settings&) = default;
 };
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -262,18 +262,18 @@
           "Memory of the machine, from which `buffered` and `connections` are derived."),
       Key("limits", "descriptors", CountBetween(&S::m_descriptors, 256, 1'048'576),
           {.m_default = "4096"},
-          "Descriptors that the machine allows this process, from which `connections` is "
-          "derived."),
+          "Descriptors that the machine allows this process, from which `connections` and "
+          "`rpc_connections` are derived."),
       Key("limits", "head_bytes", CountBetween(&S::m_max_head_bytes, 256, 1'048'576),
           {.m_default = "16384"},
-          "Largest request line with headers, and largest sum of chunk headers and trailers, in "
-          "bytes; larger ones get 431. `MaxHeaderBytes` of the configuration replaces it at the "
-          "job API."),
+          "Largest request line with headers, and largest chunk header and trailers, in bytes; "
+          "larger ones get 431. `MaxHeaderBytes` of the configuration replaces it at the job API."),
       Key("limits", "body_bytes", CountBetween(&S::m_max_body_bytes, 256, 4'194'304),
           {.m_example = "262144"},
-          "Largest request body in bytes; larger ones get 413. When unset, 262144 at the job API, "
-          "524288 at the API of an entry and 4194304 at `control`; when set, these are reduced to "
-          "it. `MaxBodyBytes` of the configuration replaces it at the job API."),
+          "Largest request body in bytes; larger ones get 413, or 400 at the API of an entry. When "
+          "unset, 262144 at the job API, 524288 at the API of an entry and 4194304 at `control`; "
+          "when set, these are reduced to it. `MaxBodyBytes` of the configuration replaces it at "
+          "the job API."),
       Key("limits", "head_timeout", DurationBetween(&S::m_head_timeout, 10ms, 1h),
           {.m_default = "3s"},
           "Longest time to receive a request line with headers. `HeaderTimeoutMs` of the "
@@ -296,6 +296,11 @@
           "Memory for heads, bodies and requests in progress of an HTTP listener. When unset, the "
           "API gets an eighth of `memory`, `readiness` 1 MiB and `control` 9 MiB, or this value "
           "when it is smaller; each at least two requests of the largest size."),
+      Key("limits", "rpc_connections", CountBetween(&S::m_max_rpc_connections, 16, 1'048'576),
+          {.m_example = "974"},
+          "Connections that other processes of the system may open at `process.rpc`. For a further "
+          "one the longest idle one is closed. When unset, a quarter of the `descriptors` above "
+          "200, at least 16."),
   };
 }
 
--- a/packages/core/include/ebonypin/core/listener_share.h
+++ b/packages/core/include/ebonypin/core/listener_share.h
@@ -37,6 +37,10 @@
 [[nodiscard]] ListenerShare ShareOfApi(const MachineLimits& machine,
                                        std::size_t max_request_bytes) noexcept;
 
+/// Returns the number of incoming RPC connections: a quarter of the descriptors that are not
+/// reserved for files. Another quarter is left to outgoing connections.
+[[nodiscard]] std::size_t MaxRpcConnections(std::uint32_t descriptors) noexcept;
+
 /// Returns the share of a listener for a few known clients: two requests of `max_request_bytes`,
 /// and 16 KiB for each connection.
 [[nodiscard]] ListenerShare ShareOfSideListener(std::size_t max_request_bytes) noexcept;
--- a/packages/daemon/scenarios/attacked_process.cc
+++ b/packages/daemon/scenarios/attacked_process.cc
@@ -76,6 +76,7 @@
       m_bounds{.m_memory = listener == AttackedListener::kControl ? kAgentMemory : kEntryMemory,
                .m_descriptors = kMaxDescriptors - kReservedDescriptors},
       m_address(FreeAddress()),
+      m_rpc_address(FreeAddress()),
       m_standin_address(FreeAddress()) {
   StartStandin();
   const auto address_space =
@@ -120,7 +121,7 @@
   const auto process = fmt::format(
       "[process]\nid = process-0\ndomain = domain-a\nrpc = {}\n"
       "metrics = {}\n",
-      FreeAddress(), FreeAddress());
+      m_rpc_address, FreeAddress());
   const auto store = "[store]\nurl = http://" + m_standin_address + "\n";
   switch (m_listener) {
     case AttackedListener::kJobApi:
--- a/packages/daemon/scenarios/attacked_process.h
+++ b/packages/daemon/scenarios/attacked_process.h
@@ -34,6 +34,8 @@
 
   /// Returns the address of the listener.
   [[nodiscard]] const std::string& Address() const noexcept { return m_address; }
+  /// Returns the address at which the process takes calls of other processes.
+  [[nodiscard]] const std::string& RpcAddress() const noexcept { return m_rpc_address; }
   /// Returns a request line and headers up to the last line end, without that of the head.
   /// A body may follow it.
   [[nodiscard]] std::string HeadOfRequest() const;
@@ -55,6 +57,7 @@
   const std::string m_limits;
   const ProcessBounds m_bounds;
   const std::string m_address;
+  const std::string m_rpc_address;
   const std::string m_standin_address;
   std::unique_ptr<standin::Standin> m_standin;
   std::unique_ptr<DaemonProcess> m_process;
--- a/packages/daemon/scenarios/process_site.cc
+++ b/packages/daemon/scenarios/process_site.cc
@@ -75,7 +75,8 @@
 void ProcessSite::AddEntry(const std::string& store) {
   const auto name = EntryName(m_entries.size());
   const auto listen = FreeAddress(kListenIp);
-  Member member{.m_http = FreeAddress(kListenIp), .m_metrics = FreeAddress(kListenIp)};
+  Member member{
+      .m_http = FreeAddress(kListenIp), .m_rpc = listen, .m_metrics = FreeAddress(kListenIp)};
   member.m_settings = fmt::format(
       "[process]\nrole = fleet_entry\nid = {}\ndomain = domain-a\nrpc = {}\nrpc_listen = {}\n"
       "http = {}\nreadiness = {}\nmetrics = {}\n[store]\nurl = http://{}\n{}",
--- a/packages/daemon/scenarios/process_site.h
+++ b/packages/daemon/scenarios/process_site.h
@@ -33,6 +33,12 @@
     return m_entries[entry].m_http;
   }
 
+  /// Returns the address at which entry number `entry` takes calls of other processes, without the
+  /// network between them.
+  [[nodiscard]] const std::string& RpcAddress(std::size_t entry) const {
+    return m_entries[entry].m_rpc;
+  }
+
   [[nodiscard]] const std::string& MetricsAddress(std::size_t entry) const {
     return m_entries[entry].m_metrics;
   }
@@ -68,6 +74,7 @@
   struct Member {
     std::string m_settings;
     std::string m_http;
+    std::string m_rpc;
     std::string m_metrics;
     std::unique_ptr<DaemonProcess> m_process;
   };
--- a/packages/daemon/src/agent/agent_role.cc
+++ b/packages/daemon/src/agent/agent_role.cc
@@ -4,6 +4,7 @@
 
 #include "../address.h"
 #include "../http_threads.h"
+#include "../listener_limits.h"
 #include "agent_driver.h"
 #include "agent_metrics.h"
 #include "ebonypin/daemon/role.h"
@@ -40,12 +41,13 @@
         m_events,
         platform::MakeHttpWorker(
             {.m_url = m_settings.m_worker_url, .m_max_connections = m_settings.m_connections}));
-    m_rpc = std::make_unique<wire::Rpc>(wire::RpcOptions{
-        .m_listen_ip = address.m_ip,
-        .m_listen_port = address.m_port,
-        .m_handler = [this](const core::Message& message, wire::ReplyFunction reply) {
-          m_driver->Serve(message, std::move(reply));
-        }});
+    auto options = RpcLimits(m_settings);
+    options.m_listen_ip = address.m_ip;
+    options.m_listen_port = address.m_port;
+    options.m_handler = [this](const core::Message& message, wire::ReplyFunction reply) {
+      m_driver->Serve(message, std::move(reply));
+    };
+    m_rpc = std::make_unique<wire::Rpc>(std::move(options));
     m_driver->SetRpc(*m_rpc);
     if (!m_settings.m_metrics_address.empty()) {
       m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this] {
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -9,6 +9,7 @@
 #include "../address.h"
 #include "../listener_limits.h"
 #include "../listener_report.h"
+#include "../rpc_metrics.h"
 #include "api_routes.h"
 #include "ebonypin/daemon/events.h"
 #include "ebonypin/daemon/metrics.h"
@@ -95,12 +96,13 @@
     }
     const auto rpc = ParseAddress(m_settings.m_rpc_address, "process.rpc");
     (void)ParseAddress(m_settings.m_http_address, "process.http");
-    m_rpc = std::make_unique<wire::Rpc>(wire::RpcOptions{
-        .m_listen_ip = rpc.m_ip,
-        .m_listen_port = rpc.m_port,
-        .m_handler = [this](core::Message message, const wire::ReplyFunction& reply) {
-          ServePeer(std::move(message), reply);
-        }});
+    auto options = RpcLimits(m_settings);
+    options.m_listen_ip = rpc.m_ip;
+    options.m_listen_port = rpc.m_port;
+    options.m_handler = [this](core::Message message, const wire::ReplyFunction& reply) {
+      ServePeer(std::move(message), reply);
+    };
+    m_rpc = std::make_unique<wire::Rpc>(std::move(options));
     OpenLogs();
     const EntryParts parts{m_settings.m_region, m_settings.m_domain, m_timers,  m_http,
                            *m_region_log,       *m_config_log,       m_config,  m_jobs,
@@ -127,6 +129,7 @@
       if (live.front().m_entry == m_self.m_entry) m_config.Rewrite(m_settings.m_log_retention);
       LogChanges(m_requests.Sweep());
       m_http_report.Update(m_http.ConnectionCounters(), Now());
+      m_rpc_report.Update(ListenerCounters(m_rpc->Counters()), Now());
     });
     m_events.Every(kOwnerInterval, [this] { m_owner.Tick(); });
     // Requests would be refused while no agent is known. Each agent sends a heartbeat within a
@@ -305,6 +308,7 @@
   std::unique_ptr<MetricsServer> m_metrics;
   // Used on the event thread only.
   ListenerReport m_http_report{"http"};
+  ListenerReport m_rpc_report{"rpc"};
   const core::Time m_started = Now();
   core::Time m_alive_due;
   bool m_was_isolated = false;
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -12,6 +12,7 @@
 #include "../http_threads.h"
 #include "../listener_limits.h"
 #include "../listener_report.h"
+#include "../rpc_metrics.h"
 #include "boot_clock.h"
 #include "ebonypin/core/fleet/share_report.h"
 #include "ebonypin/core/fleet/worker_agent.h"
@@ -219,6 +220,7 @@
     const auto control = m_control->Counters();
     m_fleet_metrics.SetListener("control", control);
     m_control_report.Update(control, Now());
+    m_rpc_report.Update(ListenerCounters(m_rpc->Counters()), Now());
     m_fleet_metrics.Set("granted", m_granted ? 1.0 : 0.0);
     m_fleet_metrics.Set("worker_reachable", m_agent.m_worker.m_reachable ? 1.0 : 0.0);
     m_fleet_metrics.Set("epoch", static_cast<double>(m_agent.m_epoch));
@@ -400,6 +402,7 @@
   std::unique_ptr<MetricsServer> m_metrics_server;
   FleetMetrics m_fleet_metrics;
   ListenerReport m_control_report{"control"};
+  ListenerReport m_rpc_report{"rpc"};
   core::Time m_started;
   bool m_refused_coordinator = false;  ///< Before the coordinator's record was read.
   bool m_report_in_flight = false;
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -242,6 +242,7 @@
   }
 
   void UpdateListenerMetrics() {
+    m_rpc_report.Update(ListenerCounters(m_rpc->Counters()), Now());
     if (!m_listeners_open) return;
     const auto job_api = m_job_api->Counters();
     m_fleet_metrics.SetListener("job_api", job_api);
@@ -484,6 +485,7 @@
   bool m_listeners_open = false;
   ListenerReport m_job_api_report{"job_api"};
   ListenerReport m_readiness_report{"readiness"};
+  ListenerReport m_rpc_report{"rpc"};
   core::fleet::QueueTable m_queues;
   core::fleet::Evacuations m_evacuations;
   std::atomic<bool> m_ready{false};
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "../address.h"
+#include "../listener_limits.h"
 #include "../rpc_metrics.h"
 #include "ebonypin/daemon/events.h"
 #include "ebonypin/wire/fleet_codec.h"
@@ -123,15 +124,15 @@
   const auto address = settings.m_rpc_listen_address.empty()
                            ? ParseAddress(settings.m_rpc_address, "process.rpc")
                            : ParseAddress(settings.m_rpc_listen_address, "process.rpc_listen");
-  return std::make_unique<wire::Rpc>(
-      wire::RpcOptions{.m_listen_ip = address.m_ip,
-                       .m_listen_port = address.m_port,
-                       .m_handler = [events, serve = std::move(serve)](const core::Message& message,
-                                                                       wire::ReplyFunction reply) {
-                         events->Post([serve, message, reply = std::move(reply)]() mutable {
-                           serve(message, std::move(reply));
-                         });
-                       }});
+  auto options = RpcLimits(settings);
+  options.m_listen_ip = address.m_ip;
+  options.m_listen_port = address.m_port;
+  options.m_handler = [events, serve = std::move(serve)](const core::Message& message,
+                                                         wire::ReplyFunction reply) {
+    events->Post(
+        [serve, message, reply = std::move(reply)]() mutable { serve(message, std::move(reply)); });
+  };
+  return std::make_unique<wire::Rpc>(std::move(options));
 }
 
 std::unique_ptr<MetricsServer> StartMetrics(const config::Settings& settings,
--- a/packages/daemon/src/listener_limits.cc
+++ b/packages/daemon/src/listener_limits.cc
@@ -65,6 +65,12 @@
   return limits;
 }
 
+wire::RpcOptions RpcLimits(const config::Settings& settings) {
+  return {.m_max_connections = settings.m_max_rpc_connections == 0
+                                   ? core::MaxRpcConnections(Descriptors(settings))
+                                   : settings.m_max_rpc_connections};
+}
+
 http::ServerLimits WithConfiguration(http::ServerLimits limits,
                                      const core::fleet::QueueTable& configuration) {
   if (configuration.m_max_head_bytes > 0) limits.m_max_head_bytes = configuration.m_max_head_bytes;
--- a/packages/daemon/src/listener_limits.h
+++ b/packages/daemon/src/listener_limits.h
@@ -6,6 +6,7 @@
 #include "ebonypin/config/settings.h"
 #include "ebonypin/core/fleet/queue_table.h"
 #include "ebonypin/http/server.h"
+#include "ebonypin/wire/rpc.h"
 
 namespace ebonypin::daemon {
 
@@ -25,6 +26,9 @@
 [[nodiscard]] http::ServerLimits SideLimits(const config::Settings& settings,
                                             std::size_t max_body_bytes);
 
+/// Returns options with the limits of incoming RPC connections, and nothing else set.
+[[nodiscard]] wire::RpcOptions RpcLimits(const config::Settings& settings);
+
 /// Returns `limits` with the values that the configuration gives.
 [[nodiscard]] http::ServerLimits WithConfiguration(http::ServerLimits limits,
                                                    const core::fleet::QueueTable& configuration);
--- a/packages/daemon/src/rpc_metrics.cc
+++ b/packages/daemon/src/rpc_metrics.cc
@@ -2,6 +2,12 @@
 
 namespace ebonypin::daemon {
 
+http::ServerCounters ListenerCounters(const wire::RpcCounters& counters) {
+  return {.m_open = counters.m_open,
+          .m_closed = {{"connections", counters.m_closed_for_connections},
+                       {"descriptors", counters.m_closed_for_descriptors}}};
+}
+
 void AddRpcMetrics(const wire::Rpc& rpc, std::vector<Metric>& out) {
   const auto counters = rpc.Counters();
   out.push_back(
@@ -19,6 +25,15 @@
   out.push_back(SingleMetric("ebonypin_rpc_accept_failures_total",
                              "Connections that could not be accepted.",
                              counters.m_accept_failures));
+  out.push_back(SingleMetric("ebonypin_rpc_connections", "Incoming connections that are open.",
+                             counters.m_open));
+  Metric closed{.m_name = "ebonypin_rpc_closed_connections_total",
+                .m_help = "Incoming connections closed because of a limit, by reason."};
+  for (const auto& [reason, count] : ListenerCounters(counters).m_closed) {
+    closed.m_samples.push_back(
+        {.m_labels = {{"reason", reason}}, .m_value = static_cast<double>(count)});
+  }
+  out.push_back(std::move(closed));
   out.push_back(SingleMetric("ebonypin_rpc_sent_bytes_total",
                              "Bytes sent on RPC connections, without TCP and IP headers.",
                              counters.m_bytes_sent));
--- a/packages/daemon/src/rpc_metrics.h
+++ b/packages/daemon/src/rpc_metrics.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "ebonypin/daemon/metrics.h"
+#include "ebonypin/http/server.h"
 #include "ebonypin/wire/rpc.h"
 
 namespace ebonypin::daemon {
@@ -18,6 +19,9 @@
           .m_samples = {{.m_value = static_cast<double>(value)}}};
 }
 
+/// Returns the counters of incoming connections as those of a listener, with the same reasons.
+[[nodiscard]] http::ServerCounters ListenerCounters(const wire::RpcCounters& counters);
+
 /// Appends the counters of calls, failures and bytes of `rpc` to `out`.
 void AddRpcMetrics(const wire::Rpc& rpc, std::vector<Metric>& out);
 
--- a/packages/daemon/tests/listener_limits_test.cc
+++ b/packages/daemon/tests/listener_limits_test.cc
@@ -44,6 +44,9 @@
     expected.m_max_buffered_bytes = (std::size_t{1} << 20U) + 2 * std::size_t{4096 + 8192};
     CPPUNIT_ASSERT(SideLimits(set, kMaxHeartbeatBytes) == expected);
     CPPUNIT_ASSERT_EQUAL(kMaxProbeBodyBytes, SideLimits(set, kMaxProbeBodyBytes).m_max_body_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{975}, RpcLimits({.m_descriptors = 4100}).m_max_connections);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{64},
+                         RpcLimits({.m_max_rpc_connections = 64}).m_max_connections);
   }
 
   /// Guards against a configuration without limits that removes those of the settings, and against
--- a/packages/wire/include/ebonypin/wire/rpc.h
+++ b/packages/wire/include/ebonypin/wire/rpc.h
@@ -57,7 +57,8 @@
   RpcHandler m_handler;
   std::size_t m_max_calls_in_flight =
       4096;  ///< Further calls are not sent and fail immediately with kNoCapacity.
-  /// Incoming connections; further ones are closed at once. A site has a few hundred processes.
+  /// Incoming connections. For a further one the longest idle one is closed, which its peer opens
+  /// again with its next call.
   std::size_t m_max_connections = 1024;
 };
 
@@ -69,7 +70,11 @@
   std::uint64_t m_reconnects = 0;  ///< Connections replaced after a timeout.
   std::uint64_t m_served = 0;
   std::uint64_t m_accept_failures = 0;  ///< Most often the process had no descriptors left.
-  std::uint64_t m_bytes_sent = 0;       ///< Payload without TCP and IP headers.
+  std::uint64_t m_open = 0;             ///< Incoming connections, now.
+  // Incoming connections that were closed, by the limit that was reached.
+  std::uint64_t m_closed_for_connections = 0;
+  std::uint64_t m_closed_for_descriptors = 0;
+  std::uint64_t m_bytes_sent = 0;  ///< Payload without TCP and IP headers.
   std::uint64_t m_bytes_received = 0;
 };
 
--- /dev/null
+++ b/packages/wire/src/incoming_connections.cc
@@ -0,0 +1,105 @@
+#include "incoming_connections.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <chrono>
+#include <utility>
+
+namespace ebonypin::wire {
+namespace {
+
+using core::ConnectionId;
+using core::ConnectionPhase;
+
+/// A peer that has lost power or its link never closes its connection. Such a connection ends when
+/// the peer has answered nothing for a minute, probes included. Calls in between time out earlier.
+constexpr int kFirstProbeSeconds = 30;
+constexpr int kProbeIntervalSeconds = 10;
+constexpr int kProbes = 3;
+constexpr unsigned kUnansweredMs = 60'000;
+
+core::Time Now() noexcept {
+  return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+}
+
+template <typename T>
+void SetOption(kj::AsyncIoStream& stream, const int level, const int option, const T value) {
+  stream.setsockopt(level, option, &value, sizeof(value));
+}
+
+void DetectLostPeer(kj::AsyncIoStream& stream) {
+  SetOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, kFirstProbeSeconds);
+  SetOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetOption(stream, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption(stream, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnansweredMs);
+}
+
+}  // namespace
+
+IncomingConnections::IncomingConnections(const std::size_t max_connections,
+                                         IncomingCounters& counters)
+    : m_table{.m_limits = {.m_max_connections = max_connections}}, m_counters(counters) {}
+
+kj::Maybe<IncomingConnections::Incoming> IncomingConnections::Add(
+    kj::Own<kj::AsyncIoStream> accepted) {
+  const auto id = ++m_last_id;
+  const auto verdict = core::AddConnection(m_table, id, Now());
+  for (const auto closed : verdict.m_close) Close(closed, m_counters.m_closed_for_connections);
+  if (!verdict.m_admitted) {
+    ++m_counters.m_closed_for_connections;
+    return nullptr;
+  }
+  // The peer has closed the connection when an option cannot be set; the next read shows it.
+  kj::runCatchingExceptions([&] { DetectLostPeer(*accepted); });
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  const auto& connection =
+      m_connections.emplace(id, Connection{.m_close = kj::mv(paf.fulfiller)}).first->second;
+  Update(id, connection);
+  return Incoming{.m_id = id,
+                  .m_stream = kj::mv(accepted),
+                  .m_closed = kj::mv(paf.promise)};
+}
+
+void IncomingConnections::Remove(const ConnectionId id) {
+  core::RemoveConnection(m_table, id);
+  m_connections.erase(id);
+  m_counters.m_open = m_connections.size();
+}
+
+void IncomingConnections::BeginCall(const ConnectionId id) {
+  const auto found = m_connections.find(id);
+  if (found == m_connections.end()) return;
+  ++found->second.m_calls;
+  Update(id, found->second);
+}
+
+void IncomingConnections::EndCall(const ConnectionId id) {
+  const auto found = m_connections.find(id);
+  if (found == m_connections.end()) return;
+  --found->second.m_calls;
+  Update(id, found->second);
+}
+
+void IncomingConnections::Update(const ConnectionId id, const Connection& connection) {
+  const auto phase = connection.m_calls > 0 ? ConnectionPhase::kHandled : ConnectionPhase::kIdle;
+  core::MoveConnection(m_table, id, phase, 0, Now());
+  m_counters.m_open = m_connections.size();
+}
+
+void IncomingConnections::CloseOneForDescriptors() {
+  const auto id = core::TakeConnectionToClose(m_table, Now());
+  if (id) Close(*id, m_counters.m_closed_for_descriptors);
+}
+
+void IncomingConnections::Close(const ConnectionId id, std::atomic<std::uint64_t>& counter) {
+  const auto found = m_connections.find(id);
+  if (found == m_connections.end()) return;
+  ++counter;
+  found->second.m_close->fulfill();
+  m_connections.erase(found);
+}
+
+}  // namespace ebonypin::wire
--- a/packages/wire/src/rpc.cc
+++ b/packages/wire/src/rpc.cc
@@ -3,15 +3,12 @@
 #include <capnp/message.h>
 #include <capnp/rpc-twoparty.h>
 #include <ebonypin.capnp.h>
-#include <fcntl.h>
 #include <kj/async-io.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <exception>
 #include <future>
-#include <mutex>
 #include <stdexcept>
 #include <thread>
 #include <unordered_map>
@@ -21,6 +18,8 @@
 #include "counting_stream.h"
 #include "ebonypin/wire/limits.h"
 #include "envelope.h"
+#include "incoming_connections.h"
+#include "task_queue.h"
 
 namespace ebonypin::wire {
 namespace {
@@ -37,41 +36,6 @@
 /// Pause after a failed accept, which is repeated since descriptors may have become free.
 constexpr auto kAcceptPause = 100 * kj::MILLISECONDS;
 
-/// Queue of functions that other threads post to the event loop thread, which a pipe wakes up.
-class TaskQueue {
- public:
-  TaskQueue() {
-    if (pipe2(m_fds, O_CLOEXEC | O_NONBLOCK) != 0)
-      throw std::runtime_error("cannot create a pipe; raise the file limit");
-  }
-  ~TaskQueue() {
-    close(m_fds[0]);
-    close(m_fds[1]);
-  }
-  TaskQueue(const TaskQueue&) = delete;
-  TaskQueue& operator=(const TaskQueue&) = delete;
-
-  void Post(std::function<void()> task) {
-    const std::lock_guard lock(m_mutex);
-    m_tasks.push_back(std::move(task));
-    if (m_tasks.size() > 1) return;  // The event loop was woken up by an earlier post.
-    const char byte = 0;
-    [[maybe_unused]] const auto written = write(m_fds[1], &byte, 1);
-  }
-
-  [[nodiscard]] std::vector<std::function<void()>> TakeAll() {
-    const std::lock_guard lock(m_mutex);
-    return std::exchange(m_tasks, {});
-  }
-
-  [[nodiscard]] int ReadFd() const noexcept { return m_fds[0]; }
-
- private:
-  int m_fds[2] = {-1, -1};
-  std::mutex m_mutex;
-  std::vector<std::function<void()>> m_tasks;
-};
-
 /// One client connection. Used on the event loop thread only.
 class Connection : public kj::Refcounted {
  public:
@@ -102,7 +66,9 @@
 
 class Rpc::Impl final : public kj::TaskSet::ErrorHandler {
  public:
-  explicit Impl(RpcOptions options) : m_options(std::move(options)) {
+  explicit Impl(RpcOptions options)
+      : m_options(std::move(options)),
+        m_incoming(m_options.m_max_connections, m_incoming_counters) {
     std::promise<std::uint16_t> started;
     auto port = started.get_future();
     m_thread = std::thread([this, &started] { Run(started); });
@@ -144,6 +110,9 @@
             .m_reconnects = m_reconnects,
             .m_served = m_served,
             .m_accept_failures = m_accept_failures,
+            .m_open = m_incoming_counters.m_open,
+            .m_closed_for_connections = m_incoming_counters.m_closed_for_connections,
+            .m_closed_for_descriptors = m_incoming_counters.m_closed_for_descriptors,
             .m_bytes_sent = m_bytes.m_sent,
             .m_bytes_received = m_bytes.m_received};
   }
@@ -165,18 +134,23 @@
   /// Cap'n Proto server object, one for each connection.
   class PeerServer final : public schema::Peer::Server {
    public:
-    explicit PeerServer(Impl& impl) : m_impl(impl) {}
+    PeerServer(Impl& impl, const core::ConnectionId connection)
+        : m_impl(impl), m_connection(connection) {}
 
     kj::Promise<void> call(CallContext context) override {
       auto message = GetEnvelope(context.getParams().getRequest());
       context.releaseParams();
-      return m_impl.Serve(std::move(message)).then([context](core::Message reply) mutable {
-        PutEnvelope(context.getResults().initReply(), reply);
-      });
+      m_impl.m_incoming.BeginCall(m_connection);
+      return m_impl.Serve(std::move(message))
+          .then([context](core::Message reply) mutable {
+            PutEnvelope(context.getResults().initReply(), reply);
+          })
+          .attach(kj::defer([&impl = m_impl, id = m_connection] { impl.m_incoming.EndCall(id); }));
     }
 
    private:
     Impl& m_impl;
+    const core::ConnectionId m_connection;
   };
 
   void taskFailed(kj::Exception&& /*exception*/) override {}
@@ -219,11 +193,12 @@
   kj::Promise<void> Accept(kj::ConnectionReceiver& listener) {
     return listener.accept().then(
         [this, &listener](kj::Own<kj::AsyncIoStream>&& accepted) {
-          if (m_open < m_options.m_max_connections) ServeConnection(kj::mv(accepted));
+          ServeConnection(kj::mv(accepted));
           return Accept(listener);
         },
         [this, &listener](kj::Exception&& /*exception*/) {
           ++m_accept_failures;
+          m_incoming.CloseOneForDescriptors();
           return m_io->provider->getTimer().afterDelay(kAcceptPause).then([this, &listener] {
             return Accept(listener);
           });
@@ -231,19 +206,22 @@
   }
 
   void ServeConnection(kj::Own<kj::AsyncIoStream> accepted) {
-    ++m_open;
-    kj::Own<kj::AsyncIoStream> stream = kj::heap<CountingStream>(kj::mv(accepted), m_bytes);
-    auto network = kj::heap<capnp::TwoPartyVatNetwork>(*stream, capnp::rpc::twoparty::Side::SERVER,
-                                                       kReaderOptions);
-    auto system =
-        kj::heap(capnp::makeRpcServer(*network, schema::Peer::Client(kj::heap<PeerServer>(*this))));
-    auto closed = network->onDisconnect();
-    // Chained attachments are destroyed in the order in which they are attached. The RPC system
-    // uses the network in its destructor, so it must be destroyed first.
-    m_tasks->add(closed.attach(kj::mv(system))
-                     .attach(kj::mv(network))
-                     .attach(kj::mv(stream))
-                     .attach(kj::defer([this] { --m_open; })));
+    KJ_IF_MAYBE (incoming, m_incoming.Add(kj::mv(accepted))) {
+      const auto id = incoming->m_id;
+      kj::Own<kj::AsyncIoStream> stream =
+          kj::heap<CountingStream>(kj::mv(incoming->m_stream), m_bytes);
+      auto network = kj::heap<capnp::TwoPartyVatNetwork>(
+          *stream, capnp::rpc::twoparty::Side::SERVER, kReaderOptions);
+      auto system = kj::heap(
+          capnp::makeRpcServer(*network, schema::Peer::Client(kj::heap<PeerServer>(*this, id))));
+      auto closed = network->onDisconnect().exclusiveJoin(kj::mv(incoming->m_closed));
+      // Chained attachments are destroyed in the order in which they are attached. The RPC system
+      // uses the network in its destructor, so it must be destroyed first.
+      m_tasks->add(closed.attach(kj::mv(system))
+                       .attach(kj::mv(network))
+                       .attach(kj::mv(stream))
+                       .attach(kj::defer([this, id] { m_incoming.Remove(id); })));
+    }
   }
 
   kj::Promise<void> DrainQueue(kj::AsyncInputStream& wake) {
@@ -360,16 +338,17 @@
   std::atomic<std::uint64_t> m_served{0};
   std::atomic<std::uint64_t> m_accept_failures{0};
   std::atomic<std::size_t> m_in_flight{0};
+  IncomingCounters m_incoming_counters;
   ByteCounters m_bytes;
 
   // Used on the event loop thread only.
   kj::AsyncIoContext* m_io = nullptr;
   kj::Own<kj::TaskSet> m_tasks;
   kj::Own<kj::PromiseFulfiller<void>> m_stop;
+  IncomingConnections m_incoming;
   std::unordered_map<std::string, kj::Own<Connection>> m_connections;
   std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<core::Message>>> m_pending;
   std::uint64_t m_last_pending = 0;
-  std::size_t m_open = 0;  ///< Incoming connections.
   char m_wake_buffer[64] = {};
 };
 
