Bound the memory of incomplete RPC messages

Seen: 900 connections to the RPC port that each announced a message of 1 MiB and sent all but its end held 889 MB at a process whose machine has 160 MB.

Cause: the memory for a message is allocated when its size has arrived, and only the single message is bounded.

Change: what a connection reads beyond the first word of a message counts as the memory of a request in the table of connections, 16 MiB for all connections. Beyond it the connection whose message began first is closed; messages of the system arrive within milliseconds. A call in progress does not protect a message that never ends.

Evidence: RpcClientsTest::MessagesThatNeverEnd, 300 connections. IncompleteMessagesStayWithinTheirMemory checks the sum with the number of connections unbounded.

--- a/packages/daemon/scenarios/rpc_clients_test.cc
+++ b/packages/daemon/scenarios/rpc_clients_test.cc
@@ -4,7 +4,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <iostream>
 #include <optional>
@@ -22,10 +24,14 @@
 constexpr std::size_t kCrowd = 500;
 /// More than the largest number of incoming connections of a process with 4,096 descriptors.
 constexpr std::size_t kLargeCrowd = 1100;
+/// With a message of 1 MiB each, more than the memory of the machine.
+constexpr std::size_t kMessages = 300;
+constexpr std::uint32_t kMessageWords = (std::uint32_t{1} << 20U) / 8;
 
 class RpcClientsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RpcClientsTest);
   CPPUNIT_TEST(SilentConnections);
+  CPPUNIT_TEST(MessagesThatNeverEnd);
   CPPUNIT_TEST(AnEntryStartsBesideSilentConnectionsToTheCoordinator);
   CPPUNIT_TEST_SUITE_END();
 
@@ -37,6 +43,19 @@
     Check(process);
   }
 
+  /// Guards against messages that are announced and each get their memory before they arrive.
+  void MessagesThatNeverEnd() {
+    AttackedProcess process(AttackedListener::kJobApi);
+    ClientLoad load(process.RpcAddress(), kMessages);
+    // The segment table of a message: the number of segments less one, and the size of the first.
+    std::string head(2 * sizeof(std::uint32_t), '\0');
+    std::memcpy(head.data() + sizeof(std::uint32_t), &kMessageWords, sizeof(kMessageWords));
+    load.Send({.m_first = head,
+               .m_repeated = std::string(1024, '\0'),
+               .m_repetitions = std::size_t{kMessageWords} * 8 - 1});
+    Check(process);
+  }
+
   /// Guards against silent connections, such as those of machines that have lost power, that keep
   /// processes of the system from their coordinator.
   void AnEntryStartsBesideSilentConnectionsToTheCoordinator() {
--- a/packages/daemon/src/rpc_metrics.cc
+++ b/packages/daemon/src/rpc_metrics.cc
@@ -4,7 +4,9 @@
 
 http::ServerCounters ListenerCounters(const wire::RpcCounters& counters) {
   return {.m_open = counters.m_open,
+          .m_buffered_bytes = counters.m_receiving_bytes,
           .m_closed = {{"connections", counters.m_closed_for_connections},
+                       {"buffered", counters.m_closed_for_memory},
                        {"descriptors", counters.m_closed_for_descriptors}}};
 }
 
@@ -27,6 +29,9 @@
                              counters.m_accept_failures));
   out.push_back(SingleMetric("ebonypin_rpc_connections", "Incoming connections that are open.",
                              counters.m_open));
+  out.push_back(SingleMetric("ebonypin_rpc_receiving_bytes",
+                             "Memory of incoming messages that are incomplete.",
+                             counters.m_receiving_bytes));
   Metric closed{.m_name = "ebonypin_rpc_closed_connections_total",
                 .m_help = "Incoming connections closed because of a limit, by reason."};
   for (const auto& [reason, count] : ListenerCounters(counters).m_closed) {
--- a/packages/wire/include/ebonypin/wire/rpc.h
+++ b/packages/wire/include/ebonypin/wire/rpc.h
@@ -60,6 +60,10 @@
   /// Incoming connections. For a further one the longest idle one is closed, which its peer opens
   /// again with its next call.
   std::size_t m_max_connections = 1024;
+  /// Memory for messages that have begun to arrive, of all incoming connections, in bytes. For a
+  /// further message the connection whose message began first is closed. Messages of the system
+  /// arrive within milliseconds, so that few of them are incomplete at a time.
+  std::size_t m_max_receiving_bytes = std::size_t{16} << 20U;
 };
 
 /// Counters since the start of the process, for metrics.
@@ -71,8 +75,10 @@
   std::uint64_t m_served = 0;
   std::uint64_t m_accept_failures = 0;  ///< Most often the process had no descriptors left.
   std::uint64_t m_open = 0;             ///< Incoming connections, now.
+  std::uint64_t m_receiving_bytes = 0;  ///< Of incoming messages that are incomplete, now.
   // Incoming connections that were closed, by the limit that was reached.
   std::uint64_t m_closed_for_connections = 0;
+  std::uint64_t m_closed_for_memory = 0;
   std::uint64_t m_closed_for_descriptors = 0;
   std::uint64_t m_bytes_sent = 0;  ///< Payload without TCP and IP headers.
   std::uint64_t m_bytes_received = 0;
--- a/packages/wire/src/incoming_connections.h
+++ b/packages/wire/src/incoming_connections.h
@@ -1,4 +1,5 @@
-/// Incoming connections of an RPC server, and which of them are closed when there are too many.
+/// Incoming connections of an RPC server: which of them are closed when there are too many, or when
+/// the messages that they announce need too much memory.
 #pragma once
 
 #include <kj/async-io.h>
@@ -14,9 +15,11 @@
 
 /// Written on the event loop thread, read by any thread.
 struct IncomingCounters {
-  std::atomic<std::uint64_t> m_open{0};  ///< Now.
+  std::atomic<std::uint64_t> m_open{0};             ///< Now.
+  std::atomic<std::uint64_t> m_receiving_bytes{0};  ///< Of incomplete messages, now.
   // Connections closed since the start, by the limit that was reached.
   std::atomic<std::uint64_t> m_closed_for_connections{0};
+  std::atomic<std::uint64_t> m_closed_for_memory{0};
   std::atomic<std::uint64_t> m_closed_for_descriptors{0};
 };
 
@@ -31,14 +34,15 @@
     kj::Promise<void> m_closed;
   };
 
-  IncomingConnections(std::size_t max_connections, IncomingCounters& counters);
+  IncomingConnections(const core::ConnectionLimits& limits, IncomingCounters& counters);
 
   /// Adds a connection. The longest idle one is closed when there are too many; the new one is,
   /// and null is returned, when all others have calls in progress.
   kj::Maybe<Incoming> Add(kj::Own<kj::AsyncIoStream> accepted);
   void Remove(core::ConnectionId id);
 
-  /// A connection with a call in progress is not closed for others.
+  /// A connection with a call in progress is not closed for others, unless it holds memory for an
+  /// incomplete message.
   void BeginCall(core::ConnectionId id);
   void EndCall(core::ConnectionId id);
 
@@ -46,12 +50,17 @@
   void CloseOneForDescriptors();
 
  private:
+  class Stream;
   struct Connection {
-    std::size_t m_calls = 0;  ///< In progress.
+    std::size_t m_calls = 0;            ///< In progress.
+    std::size_t m_receiving_bytes = 0;  ///< Memory of an incomplete message.
     kj::Own<kj::PromiseFulfiller<void>> m_close;
   };
 
-  void Update(core::ConnectionId id, const Connection& connection);
+  /// Notes the memory of the message that the connection begins to receive, or zero. Returns false
+  /// when the connection is closed since there is not enough memory.
+  bool SetReceiving(core::ConnectionId id, std::size_t bytes);
+  bool Update(core::ConnectionId id, const Connection& connection);
   void Close(core::ConnectionId id, std::atomic<std::uint64_t>& counter);
 
   core::ConnectionTable m_table;
--- a/packages/wire/src/rpc.cc
+++ b/packages/wire/src/rpc.cc
@@ -68,7 +68,9 @@
  public:
   explicit Impl(RpcOptions options)
       : m_options(std::move(options)),
-        m_incoming(m_options.m_max_connections, m_incoming_counters) {
+        m_incoming({.m_max_connections = m_options.m_max_connections,
+                    .m_max_bytes = m_options.m_max_receiving_bytes},
+                   m_incoming_counters) {
     std::promise<std::uint16_t> started;
     auto port = started.get_future();
     m_thread = std::thread([this, &started] { Run(started); });
@@ -111,7 +113,9 @@
             .m_served = m_served,
             .m_accept_failures = m_accept_failures,
             .m_open = m_incoming_counters.m_open,
+            .m_receiving_bytes = m_incoming_counters.m_receiving_bytes,
             .m_closed_for_connections = m_incoming_counters.m_closed_for_connections,
+            .m_closed_for_memory = m_incoming_counters.m_closed_for_memory,
             .m_closed_for_descriptors = m_incoming_counters.m_closed_for_descriptors,
             .m_bytes_sent = m_bytes.m_sent,
             .m_bytes_received = m_bytes.m_received};
--- a/packages/wire/tests/rpc_test.cc
+++ b/packages/wire/tests/rpc_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(TheLongestIdleConnectionIsClosedForAFurtherOne);
   CPPUNIT_TEST(AConnectionWithACallInProgressIsNotClosed);
   CPPUNIT_TEST(AcceptedConnectionsProbeTheirPeers);
+  CPPUNIT_TEST(IncompleteMessagesStayWithinTheirMemory);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -228,6 +229,26 @@
     CPPUNIT_ASSERT_EQUAL(1, accepted);
   }
 
+  /// Guards against messages that are each within their limit, and together are not.
+  void IncompleteMessagesStayWithinTheirMemory() {
+    constexpr std::size_t kMessageBytes = std::size_t{1} << 20U;
+    constexpr std::size_t kMemory = 3 * kMessageBytes;
+    Rpc server = Answering({.m_max_receiving_bytes = kMemory});
+    std::vector<int> sockets;
+    for (int i = 0; i < 8; ++i) {
+      sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      CPPUNIT_ASSERT_EQUAL(0, Connect(sockets.back(), server));
+      const std::uint32_t head[] = {0, kMessageBytes / 8, 0};
+      CPPUNIT_ASSERT(send(sockets.back(), head, sizeof(head), MSG_NOSIGNAL) == sizeof(head));
+    }
+    CPPUNIT_ASSERT(WaitUntil([&] { return server.Counters().m_closed_for_memory == 5; }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kMemory}, server.Counters().m_receiving_bytes);
+    Rpc client({});
+    CPPUNIT_ASSERT(IsAnswered(client, server));
+    for (const int opened : sockets) close(opened);
+    CPPUNIT_ASSERT(WaitUntil([&] { return server.Counters().m_receiving_bytes == 0; }));
+  }
+
  private:
   static constexpr int kSearchedDescriptors = 1024;
 
