Serve metrics through the bounded HTTP server

Operators saw: with three connections that sent half a head a scrape got no answer within 4 s.

Cause: the exposer of prometheus-cpp ran with one thread, which serves one connection at a time until it ends or times out, and its interface has no bound for it.

Change: the metrics are served by the bounded server with the limits of the listeners for a few known clients. prometheus-cpp still writes the text format. The thread that woke the exposer to stop it is gone.

Evidence: MetricsClientsTest, the same 20 kinds of clients as at the other listeners.

--- a/packages/daemon/include/ebonypin/daemon/metrics.h
+++ b/packages/daemon/include/ebonypin/daemon/metrics.h
@@ -2,7 +2,7 @@
 ///
 /// Example:
 ///
-///     MetricsServer metrics("127.0.0.1:9101", [&] {
+///     MetricsServer metrics("127.0.0.1:9101", {}, [&] {
 ///       return std::vector<Metric>{{.m_name = "ebonypin_jobs_open", .m_help = "Jobs not closed.",
 ///                                   .m_samples = {{.m_value = 3}}}};
 ///     });
@@ -14,6 +14,8 @@
 #include <string>
 #include <vector>
 
+#include "ebonypin/http/server.h"
+
 namespace ebonypin::daemon {
 
 /// One value of a metric, with its labels.
@@ -29,20 +31,19 @@
   std::vector<MetricSample> m_samples;
 };
 
-/// Serves the metrics over HTTP at /metrics.
+/// Serves the metrics over HTTP at /metrics, in Prometheus' text format.
 class MetricsServer {
  public:
   /// Listens on `address`, "ip:port". `read` returns the metrics of one scrape and is called from
-  /// the server's threads. Throws std::runtime_error when the address is in use.
-  MetricsServer(const std::string& address, std::function<std::vector<Metric>()> read);
+  /// the server's thread. Throws std::runtime_error when the address is in use.
+  MetricsServer(const std::string& address, const http::ServerLimits& limits,
+                std::function<std::vector<Metric>()> read);
   ~MetricsServer();
   MetricsServer(const MetricsServer&) = delete;
   MetricsServer& operator=(const MetricsServer&) = delete;
 
  private:
-  class Reader;
-  class Impl;
-  std::unique_ptr<Impl> m_impl;
+  std::unique_ptr<http::Server> m_server;
 };
 
 }  // namespace ebonypin::daemon
--- a/packages/daemon/scenarios/attacked_process.cc
+++ b/packages/daemon/scenarios/attacked_process.cc
@@ -121,7 +121,7 @@
   const auto process = fmt::format(
       "[process]\nid = process-0\ndomain = domain-a\nrpc = {}\n"
       "metrics = {}\n",
-      m_rpc_address, FreeAddress());
+      m_rpc_address, m_listener == AttackedListener::kMetrics ? m_address : FreeAddress());
   const auto store = "[store]\nurl = http://" + m_standin_address + "\n";
   switch (m_listener) {
     case AttackedListener::kJobApi:
@@ -133,6 +133,9 @@
     case AttackedListener::kControl:
       return process + "role = fleet_agent\ncontrol = " + m_address + "\n" + store +
              "[worker]\nurl = http://" + FreeAddress() + "\n";
+    case AttackedListener::kMetrics:
+      return process + "role = fleet_entry\nhttp = " + FreeAddress() +
+             "\nreadiness = " + FreeAddress() + "\n" + store;
     case AttackedListener::kEntryApi:
       break;
   }
@@ -155,6 +158,9 @@
     case AttackedListener::kEntryApi:
       line = "PUT /v1/classes/c";
       break;
+    case AttackedListener::kMetrics:
+      line = "GET /metrics";
+      break;
   }
   return line + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Type: application/json\r\n";
 }
@@ -179,6 +185,9 @@
     case AttackedListener::kEntryApi:
       line = "GET /v1/status";
       break;
+    case AttackedListener::kMetrics:
+      line = "GET /metrics";
+      break;
   }
   return fmt::format(
       "{} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Type: application/json\r\n"
--- a/packages/daemon/scenarios/attacked_process.h
+++ b/packages/daemon/scenarios/attacked_process.h
@@ -13,7 +13,7 @@
 namespace ebonypin::daemon {
 
 /// HTTP listener that clients reach.
-enum class AttackedListener { kJobApi, kReadiness, kControl, kEntryApi };
+enum class AttackedListener { kJobApi, kReadiness, kControl, kEntryApi, kMetrics };
 
 /// What a process may use, from its machine.
 struct ProcessBounds {
--- a/packages/daemon/scenarios/uncontrolled_clients_test.cc
+++ b/packages/daemon/scenarios/uncontrolled_clients_test.cc
@@ -276,10 +276,17 @@
   [[nodiscard]] AttackedListener Target() const override { return AttackedListener::kEntryApi; }
 };
 
+class MetricsClientsTest : public UncontrolledClientsTest {
+  CPPUNIT_TEST_SUB_SUITE(MetricsClientsTest, UncontrolledClientsTest);
+  CPPUNIT_TEST_SUITE_END();
+  [[nodiscard]] AttackedListener Target() const override { return AttackedListener::kMetrics; }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(JobApiClientsTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(ReadinessClientsTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlClientsTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryApiClientsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(MetricsClientsTest);
 
 }  // namespace
 }  // namespace ebonypin::daemon
--- a/packages/daemon/src/agent/agent_role.cc
+++ b/packages/daemon/src/agent/agent_role.cc
@@ -50,9 +50,9 @@
     m_rpc = std::make_unique<wire::Rpc>(std::move(options));
     m_driver->SetRpc(*m_rpc);
     if (!m_settings.m_metrics_address.empty()) {
-      m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this] {
-        return ReadAgentMetrics(m_driver->Counters(), m_driver->Load(), *m_rpc);
-      });
+      m_metrics = std::make_unique<MetricsServer>(
+          m_settings.m_metrics_address, SideLimits(m_settings, kMaxProbeBodyBytes),
+          [this] { return ReadAgentMetrics(m_driver->Counters(), m_driver->Load(), *m_rpc); });
     }
     m_driver->Start();
   }
--- a/packages/daemon/src/entry/entry_role.cc
+++ b/packages/daemon/src/entry/entry_role.cc
@@ -109,9 +109,9 @@
                            m_watches,           m_requests,          m_members, m_owner,
                            m_leaving,           m_draining};
     if (!m_settings.m_metrics_address.empty()) {
-      m_metrics = std::make_unique<MetricsServer>(m_settings.m_metrics_address, [this, parts] {
-        return ReadEntryMetrics(parts, m_owner, *m_rpc);
-      });
+      m_metrics = std::make_unique<MetricsServer>(
+          m_settings.m_metrics_address, SideLimits(m_settings, kMaxProbeBodyBytes),
+          [this, parts] { return ReadEntryMetrics(parts, m_owner, *m_rpc); });
     }
     AddWorkRoutes(parts);
     AddWatchRoutes(parts);
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -139,6 +139,7 @@
                                             const FleetMetrics& counters, const wire::Rpc& rpc) {
   if (settings.m_metrics_address.empty()) return nullptr;
   return std::make_unique<MetricsServer>(settings.m_metrics_address,
+                                         SideLimits(settings, kMaxProbeBodyBytes),
                                          [&counters, &rpc] { return counters.Read(rpc); });
 }
 
