Limit the log lines that clients cause at will

Operators saw: clients that did not read made 300 KB of log lines in 16 s on one entry. Each refused request cost a line, each response that was not taken a warning, up to the 150 lines a second of the whole process, and the warnings used up what is reserved for failures.

Change: E616, and E611 of calls without an effect on a job (reads, and requests refused before the coordinator is asked), have a budget of their own within that of the process: 100 lines at once and 2 a second. E107 counts the others. Lines about submissions and cancels that reached the coordinator are written as before.

Evidence: JobApiClientsLogTest, 20,000 refused requests, bound 64 KiB.

--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -125,6 +125,10 @@
 /// Writes an event to the default spdlog logger at the event's level.
 void LogEvent(const Event& event, std::initializer_list<EventField> fields = {});
 
+/// Does the same for an event that clients of an open listener can cause at will, at a lower rate.
+/// E107 counts those that are not written.
+void LogClientEvent(const Event& event, std::initializer_list<EventField> fields = {});
+
 /// Writes events of at least `level` ("debug", "info", "warn", "error") to standard output from a
 /// background thread. When the reader of standard output stalls, the oldest queued events are lost
 /// and no caller blocks. An unknown level is treated as "info".
--- a/packages/daemon/scenarios/uncontrolled_clients_test.cc
+++ b/packages/daemon/scenarios/uncontrolled_clients_test.cc
@@ -3,7 +3,10 @@
 /// The load and the bounds are fixed: they come from the smallest machines of a deployment, never
 /// from measured results. No check depends on a time or on a share of served requests.
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
 
+#include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <string>
@@ -27,6 +30,10 @@
 /// The time-out is longer than any test, so that none passes because it has expired.
 constexpr auto kFewConnections = "connections = 16\nwrite_timeout = 600s\n";
 constexpr std::size_t kMoreThanFewConnections = 64;
+/// On each of kFloods connections, and what they may make the process write: a line for each fifty
+/// of them.
+constexpr std::size_t kRefusedRequests = 2500;
+constexpr std::size_t kLogBytes = std::size_t{64} << 10U;
 
 class UncontrolledClientsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UncontrolledClientsTest);
@@ -258,6 +265,44 @@
   [[nodiscard]] AttackedListener Target() const override { return AttackedListener::kJobApi; }
 };
 
+/// What the clients of the job API make its process write to its log.
+class JobApiClientsLogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobApiClientsLogTest);
+  CPPUNIT_TEST(ReadsOfUnknownJobs);
+  CPPUNIT_TEST(SubmissionsThatAreNoJobs);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against a line for each read of a job that does not exist.
+  void ReadsOfUnknownJobs() {
+    Refuse("GET /renders/fedcba9876543210 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n");
+  }
+
+  /// Guards against a line for each body that is refused.
+  void SubmissionsThatAreNoJobs() {
+    Refuse(
+        "POST /renders/fedcba9876543210 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+        "Content-Length: 2\r\n\r\n{]");
+  }
+
+ private:
+  static void Refuse(const std::string& request) {
+    auto log = (std::filesystem::temp_directory_path() / "ebonypin-log-XXXXXX").string();
+    ::close(::mkstemp(log.data()));
+    {
+      AttackedProcess process(AttackedListener::kJobApi, {}, log);
+      ClientLoad load(process.Address(), kFloods);
+      load.Send({.m_repeated = request, .m_repetitions = request.size() * kRefusedRequests});
+      const auto faults = process.FindFaults();
+      const auto logged = std::filesystem::file_size(log);
+      std::cout << " [" << load.SentBytes() << " bytes sent, " << logged << " bytes logged] ";
+      CPPUNIT_ASSERT_EQUAL(std::string{}, faults);
+      CPPUNIT_ASSERT(logged <= kLogBytes);
+    }
+    std::filesystem::remove(log);
+  }
+};
+
 class ReadinessClientsTest : public UncontrolledClientsTest {
   CPPUNIT_TEST_SUB_SUITE(ReadinessClientsTest, UncontrolledClientsTest);
   CPPUNIT_TEST_SUITE_END();
@@ -283,6 +328,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobApiClientsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(JobApiClientsLogTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(ReadinessClientsTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlClientsTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryApiClientsTest);
--- a/packages/daemon/src/events.cc
+++ b/packages/daemon/src/events.cc
@@ -59,6 +59,32 @@
   return quoted + '"';
 }
 
+void Write(const Event& event, const std::initializer_list<EventField> fields,
+           const bool is_caused_by_client) {
+  const auto level = ToSpdlog(event.m_level);
+  if (!spdlog::should_log(level)) return;
+  static std::mutex mutex;
+  static LogBudget budget;
+  static LogBudget clients{.m_options = kClientEvents, .m_tokens = kClientEvents.m_burst};
+  std::string dropped;
+  {
+    const std::lock_guard lock(mutex);
+    const auto now = std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+    const auto priority =
+        event.m_level >= EventLevel::kWarn ? EventPriority::kFailure : EventPriority::kRoutine;
+    const bool admitted = is_caused_by_client
+                              ? AdmitClientEvent(budget, clients, now, event.m_number, priority)
+                              : AdmitEvent(budget, now, event.m_number, priority);
+    if (!admitted) return;
+    dropped = TakeDropped(budget);
+  }
+  if (!dropped.empty()) {
+    spdlog::log(ToSpdlog(kEventsDropped.m_level), "{}",
+                FormatEvent(kEventsDropped, {{"events", dropped}}));
+  }
+  spdlog::log(level, "{}", FormatEvent(event, fields));
+}
+
 }  // namespace
 
 Event DefineEvent(const std::uint32_t number, const EventLevel level,
@@ -99,24 +125,11 @@
 }
 
 void LogEvent(const Event& event, const std::initializer_list<EventField> fields) {
-  const auto level = ToSpdlog(event.m_level);
-  if (!spdlog::should_log(level)) return;
-  static std::mutex mutex;
-  static LogBudget budget;
-  std::string dropped;
-  {
-    const std::lock_guard lock(mutex);
-    const auto now = std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
-    const auto priority =
-        event.m_level >= EventLevel::kWarn ? EventPriority::kFailure : EventPriority::kRoutine;
-    if (!AdmitEvent(budget, now, event.m_number, priority)) return;
-    dropped = TakeDropped(budget);
-  }
-  if (!dropped.empty()) {
-    spdlog::log(ToSpdlog(kEventsDropped.m_level), "{}",
-                FormatEvent(kEventsDropped, {{"events", dropped}}));
-  }
-  spdlog::log(level, "{}", FormatEvent(event, fields));
+  Write(event, fields, false);
+}
+
+void LogClientEvent(const Event& event, const std::initializer_list<EventField> fields) {
+  Write(event, fields, true);
 }
 
 void ConfigureLogging(const std::string_view level) {
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -115,6 +115,24 @@
   return answer;
 }
 
+/// Whether a call that got this answer neither changed a job nor asked the coordinator for a
+/// change. Any client can cause such answers at will.
+bool HasNoEffect(const JobApiMethod method, const JobApiStatus status,
+                 const core::fleet::AnswerBasis basis) noexcept {
+  if (method == JobApiMethod::kRead) return true;
+  switch (status) {
+    case JobApiStatus::kNoSuchQueue:
+    case JobApiStatus::kInvalid:
+    case JobApiStatus::kTooLarge:
+      return true;
+    case JobApiStatus::kNoSuchJob:
+      // The coordinator was not asked, because the path has no valid id.
+      return basis == core::fleet::AnswerBasis::kNotTold;
+    default:
+      return false;
+  }
+}
+
 std::string_view BasisName(const core::fleet::AnswerBasis basis) noexcept {
   switch (basis) {
     case core::fleet::AnswerBasis::kNotTold:
@@ -360,7 +378,7 @@
   void Send(const std::string& path, const JobApiResponse& answer,
             const platform::JobApiRespond& respond) const {
     respond(answer, [path, in_progress = m_in_progress](const std::string& error) {
-      if (!error.empty()) LogEvent(kAnswerNotSent, {{"path", path}, {"reason", error}});
+      if (!error.empty()) LogClientEvent(kAnswerNotSent, {{"path", path}, {"reason", error}});
       --*in_progress;
     });
   }
@@ -424,15 +442,17 @@
         method == JobApiMethod::kRead &&
         (result.m_status == JobApiStatus::kState || result.m_status == JobApiStatus::kPending);
     if (read_succeeded) return;
-    LogEvent(kCallAnswered, {{"path", path},
-                             {"method", static_cast<int>(method)},
-                             {"status", FrontStatusName(result.m_status)},
-                             {"ms", core::ToMillis(took)},
-                             {"config", m_queues.m_version},
-                             {"epoch", m_coordinator->Known().m_epoch},
-                             {"answered_epoch", reply.m_epoch},
-                             {"basis", BasisName(reply.m_basis)},
-                             {"why", result.m_reason}});
+    const auto log =
+        HasNoEffect(method, result.m_status, reply.m_basis) ? LogClientEvent : LogEvent;
+    log(kCallAnswered, {{"path", path},
+                        {"method", static_cast<int>(method)},
+                        {"status", FrontStatusName(result.m_status)},
+                        {"ms", core::ToMillis(took)},
+                        {"config", m_queues.m_version},
+                        {"epoch", m_coordinator->Known().m_epoch},
+                        {"answered_epoch", reply.m_epoch},
+                        {"basis", BasisName(reply.m_basis)},
+                        {"why", result.m_reason}});
   }
 
   void ServeMessage(const core::Message& message, wire::ReplyFunction reply) {
--- a/packages/daemon/src/log_budget.cc
+++ b/packages/daemon/src/log_budget.cc
@@ -21,6 +21,16 @@
   return true;
 }
 
+bool AdmitClientEvent(LogBudget& budget, LogBudget& clients, const core::Time now,
+                      const std::uint32_t event, const EventPriority priority) {
+  if (AdmitEvent(clients, now, event, EventPriority::kFailure)) {
+    return AdmitEvent(budget, now, event, priority);
+  }
+  clients.m_dropped.clear();
+  ++budget.m_dropped[event];
+  return false;
+}
+
 std::string TakeDropped(LogBudget& budget) {
   std::string text;
   for (const auto& [event, count] : std::exchange(budget.m_dropped, {})) {
--- a/packages/daemon/src/log_budget.h
+++ b/packages/daemon/src/log_budget.h
@@ -25,6 +25,10 @@
 /// Routine events are dropped before events that report a failure.
 enum class EventPriority : std::uint8_t { kRoutine, kFailure };
 
+/// For events that clients cause at will, such as refused requests, together: about 0.5 KB/s.
+inline constexpr LogBudgetOptions kClientEvents{
+    .m_per_second = 2.0, .m_burst = 100.0, .m_reserve = 0.0};
+
 struct LogBudget {
   LogBudgetOptions m_options;
   double m_tokens = LogBudgetOptions{}.m_burst;
@@ -37,6 +41,11 @@
 [[nodiscard]] bool AdmitEvent(LogBudget& budget, core::Time now, std::uint32_t event,
                               EventPriority priority);
 
+/// Does the same for an event that clients cause at will. It needs room in `clients`, too, so that
+/// such events neither fill the log nor displace others. Dropped ones are counted in `budget`.
+[[nodiscard]] bool AdmitClientEvent(LogBudget& budget, LogBudget& clients, core::Time now,
+                                    std::uint32_t event, EventPriority priority);
+
 /// Returns the counts of dropped events, such as "E610:12 E611:3", and resets them.
 [[nodiscard]] std::string TakeDropped(LogBudget& budget);
 
