--- a/packages/core/include/ebonypin/core/fleet/held_calls.h
+++ b/packages/core/include/ebonypin/core/fleet/held_calls.h
@@ -122,6 +122,9 @@
 /// Removes and returns all calls, because the leadership ends.
 [[nodiscard]] std::vector<std::uint64_t> TakeAll(HeldCalls& held, Time now);
 
+/// Returns the number of calls that were given up for `cause`.
+[[nodiscard]] std::uint64_t GivenUp(const HeldCounts& counts, GiveUpCause cause);
+
 /// Returns the counts of the episode that ends, and begins a new one.
 HeldCounts EndEpisode(HeldCalls& held);
 
--- a/packages/core/src/fleet/held_calls.cc
+++ b/packages/core/src/fleet/held_calls.cc
@@ -140,6 +140,11 @@
   return GiveUp(held, now, std::move(all), GiveUpCause::kEnded);
 }
 
+std::uint64_t GivenUp(const HeldCounts& counts, const GiveUpCause cause) {
+  const auto found = counts.m_given_up.find(cause);
+  return found == counts.m_given_up.end() ? 0 : found->second;
+}
+
 HeldCounts EndEpisode(HeldCalls& held) { return std::exchange(held.m_episode, {}); }
 
 }  // namespace ebonypin::core::fleet
--- a/packages/daemon/src/fleet/coordinator_hold.cc
+++ b/packages/daemon/src/fleet/coordinator_hold.cc
@@ -19,11 +19,6 @@
 /// time, which the sender of the call allows for.
 constexpr auto kHoldInterval = 50ms;
 
-std::uint64_t CountOf(const core::fleet::HeldCounts& counts, const GiveUpCause cause) {
-  const auto found = counts.m_given_up.find(cause);
-  return found == counts.m_given_up.end() ? 0 : found->second;
-}
-
 }  // namespace
 
 bool CoordinatorService::HoldsCalls() const noexcept { return m_options.m_hold > core::Duration{}; }
@@ -145,10 +140,10 @@
                         {"held", counts.m_held},
                         {"most", counts.m_most},
                         {"released", counts.m_released},
-                        {"expired", CountOf(counts, GiveUpCause::kExpired)},
-                        {"displaced", CountOf(counts, GiveUpCause::kDisplaced)},
-                        {"cancelled", CountOf(counts, GiveUpCause::kCancelled)},
-                        {"ended", CountOf(counts, GiveUpCause::kEnded)},
+                        {"expired", GivenUp(counts, GiveUpCause::kExpired)},
+                        {"displaced", GivenUp(counts, GiveUpCause::kDisplaced)},
+                        {"cancelled", GivenUp(counts, GiveUpCause::kCancelled)},
+                        {"ended", GivenUp(counts, GiveUpCause::kEnded)},
                         {"longest_wait_ms", core::ToMillis(counts.m_longest_wait)}});
 }
 
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -98,23 +98,20 @@
 }
 
 void SetHoldMetrics(FleetMetrics& metrics, const core::fleet::HeldCalls& held) {
+  using core::fleet::GivenUp;
   using core::fleet::GiveUpCause;
   const auto& total = held.m_total;
   const auto set = [&metrics](const std::string& name, const auto value) {
     metrics.Set("held_calls_" + name, static_cast<double>(value));
   };
-  const auto given_up = [&total](const GiveUpCause cause) {
-    const auto found = total.m_given_up.find(cause);
-    return found == total.m_given_up.end() ? 0 : found->second;
-  };
   metrics.Set("held_calls", static_cast<double>(held.m_calls.size()));
   set("bytes", held.m_bytes);
   set("total", total.m_held);
   set("released_total", total.m_released);
-  set("expired_total", given_up(GiveUpCause::kExpired));
-  set("displaced_total", given_up(GiveUpCause::kDisplaced));
-  set("cancelled_total", given_up(GiveUpCause::kCancelled));
-  set("ended_total", given_up(GiveUpCause::kEnded));
+  set("expired_total", GivenUp(total, GiveUpCause::kExpired));
+  set("displaced_total", GivenUp(total, GiveUpCause::kDisplaced));
+  set("cancelled_total", GivenUp(total, GiveUpCause::kCancelled));
+  set("ended_total", GivenUp(total, GiveUpCause::kEnded));
   set("longest_wait_ms", core::ToMillis(total.m_longest_wait));
 }
 
