--- a/packages/daemon/scenarios/attacked_process.cc
+++ b/packages/daemon/scenarios/attacked_process.cc
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "client_load.h"
-#include "ebonypin/platform/users_platform.h"
 #include "ebonypin/standin/users_messages.h"
 #include "site.h"
 
@@ -108,13 +107,7 @@
   m_standin = standin::CreateStandin(is_log ? "log" : "store", m_standin_address);
   m_standin->Start();
   if (is_log) return;
-  auto record = web::json::value::object();
-  record["topic"] = web::json::value::string(platform::GetPlatformPlugin()->m_config_topic);
-  record["key"] = web::json::value::string(platform::GetPlatformPlugin()->m_config_key);
-  record["value"] = web::json::value::string(LimitedConfig());
-  auto faults = web::json::value::object();
-  faults["put"] = std::move(record);
-  (void)SendHttp(m_standin_address, "POST", "/faults", faults.serialize());
+  PutConfigText(m_standin_address, LimitedConfig());
 }
 
 std::string AttackedProcess::Settings() const {
--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -147,13 +147,7 @@
 
 void FleetSite::PutRecord(const std::string& topic, const std::string& key,
                           const std::string& value) const {
-  auto record = web::json::value::object();
-  record["topic"] = web::json::value::string(topic);
-  record["key"] = web::json::value::string(key);
-  record["value"] = web::json::value::string(value);
-  auto faults = web::json::value::object();
-  faults["put"] = std::move(record);
-  SetStoreFaults(faults.serialize());
+  daemon::PutRecord(m_store_address, topic, key, value);
 }
 
 void FleetSite::PutConfig(const int version, const std::string& prefix,
--- a/packages/daemon/scenarios/process_site.cc
+++ b/packages/daemon/scenarios/process_site.cc
@@ -6,7 +6,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "ebonypin/platform/users_platform.h"
 #include "ebonypin/standin/users_messages.h"
 
 DECLARE_string(run_worker_control);
@@ -29,13 +28,7 @@
   const std::string usual_host = "127.0.0.1";
   auto config = standin::UsersConfig(1, "/renders/");
   config.replace(config.find(usual_host), usual_host.size(), kListenIp);
-  auto record = web::json::value::object();
-  record["topic"] = web::json::value::string(platform::GetPlatformPlugin()->m_config_topic);
-  record["key"] = web::json::value::string(platform::GetPlatformPlugin()->m_config_key);
-  record["value"] = web::json::value::string(config);
-  auto faults = web::json::value::object();
-  faults["put"] = std::move(record);
-  (void)SendHttp(store, "POST", "/faults", faults.serialize());
+  PutConfigText(store, config);
 }
 
 }  // namespace
--- a/packages/daemon/scenarios/site.cc
+++ b/packages/daemon/scenarios/site.cc
@@ -10,6 +10,8 @@
 #include <thread>
 #include <utility>
 
+#include "ebonypin/platform/users_platform.h"
+
 DECLARE_int64(log_max_age_ms);
 
 namespace ebonypin::daemon {
@@ -57,6 +59,22 @@
   return Send(client, method, path, body);
 }
 
+void PutRecord(const std::string& store, const std::string& topic, const std::string& key,
+               const std::string& value) {
+  auto record = web::json::value::object();
+  record["topic"] = web::json::value::string(topic);
+  record["key"] = web::json::value::string(key);
+  record["value"] = web::json::value::string(value);
+  auto faults = web::json::value::object();
+  faults["put"] = std::move(record);
+  (void)SendHttp(store, "POST", "/faults", faults.serialize());
+}
+
+void PutConfigText(const std::string& store, const std::string& text) {
+  const auto* const platform = platform::GetPlatformPlugin();
+  PutRecord(store, platform->m_config_topic, platform->m_config_key, text);
+}
+
 std::function<HttpResult(const std::string&, const std::string&)> OpenHttp(
     const std::string& address) {
   return [client = Connect(address)](const std::string& method, const std::string& path) mutable {
--- a/packages/daemon/scenarios/site.h
+++ b/packages/daemon/scenarios/site.h
@@ -95,6 +95,13 @@
 HttpResult SendHttp(const std::string& address, const std::string& method, const std::string& path,
                     const std::string& body);
 
+/// Writes a record into the store stand-in at `store`.
+void PutRecord(const std::string& store, const std::string& topic, const std::string& key,
+               const std::string& value);
+
+/// Writes the operators' configuration into the store stand-in at `store`.
+void PutConfigText(const std::string& store, const std::string& text);
+
 /// Returns a function that sends requests without a body over one connection.
 [[nodiscard]] std::function<HttpResult(const std::string& method, const std::string& path)>
 OpenHttp(const std::string& address);
