Play cancels beside silent connections to the RPC ports

Entries now close connections of the system's own processes when strangers open more than the limit. NoJobRunsOnAfterItsCancelBeside- SilentConnections plays the same seeds as the other soak with 40 silent connections to each entry, opened again every 0.5 s, at a limit of 16.

By reading: the network runs on one thread, which reads a table of all sockets, 50 to 100 ms at that length, for each new connection.

--- a/packages/daemon/scenarios/cancel_soak_test.cc
+++ b/packages/daemon/scenarios/cancel_soak_test.cc
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <atomic>
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -13,6 +15,7 @@
 #include <vector>
 
 #include "cancel_play.h"
+#include "client_load.h"
 
 namespace ebonypin::daemon {
 namespace {
@@ -22,6 +25,10 @@
 /// Plays beside each other, of six processes each; they wait for most of their time.
 constexpr std::uint64_t kPlaysAtOnce = 3;
 const std::string kJob = "0123456789abcdef";
+/// More peers than an entry of the site has, and fewer than silent connections are opened.
+constexpr auto kFewRpcConnections = "[limits]\nrpc_connections = 16\n";
+constexpr std::size_t kSilentConnections = 40;
+constexpr std::chrono::milliseconds kSilentTime{500};
 
 struct SeedRange {
   std::uint64_t m_first = 1;
@@ -107,22 +114,59 @@
   }
 };
 
+/// Opens silent connections to the RPC ports of all entries, again and again, so that the entries
+/// close those of the system's own processes.
+class SilentClients {
+ public:
+  explicit SilentClients(const ProcessSite& site) {
+    for (std::size_t i = 0; i < site.Entries(); ++i) m_addresses.push_back(site.RpcAddress(i));
+    m_thread = std::thread([this] {
+      while (!m_stopping) {
+        std::vector<std::unique_ptr<ClientLoad>> loads;
+        for (const auto& address : m_addresses) {
+          loads.push_back(std::make_unique<ClientLoad>(address, kSilentConnections));
+        }
+        std::this_thread::sleep_for(kSilentTime);
+      }
+    });
+  }
+  ~SilentClients() {
+    m_stopping = true;
+    m_thread.join();
+  }
+  SilentClients(const SilentClients&) = delete;
+  SilentClients& operator=(const SilentClients&) = delete;
+
+ private:
+  std::vector<std::string> m_addresses;
+  std::atomic<bool> m_stopping{false};
+  std::thread m_thread;
+};
+
 class CancelSoakTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CancelSoakTest);
   CPPUNIT_TEST(NoJobRunsOnAfterItsCancelBesideDisruptions);
+  CPPUNIT_TEST(NoJobRunsOnAfterItsCancelBesideSilentConnections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   /// Guards against answers that a superseded coordinator gives from memory: a cancel is
   /// acknowledged and the job runs on, and accepted jobs are unknown or refused.
-  void NoJobRunsOnAfterItsCancelBesideDisruptions() {
+  void NoJobRunsOnAfterItsCancelBesideDisruptions() { PlaySeeds(false); }
+
+  /// Guards against answers that are wrong when calls between the processes lose their connections
+  /// to those of strangers, besides the disruptions.
+  void NoJobRunsOnAfterItsCancelBesideSilentConnections() { PlaySeeds(true); }
+
+ private:
+  static void PlaySeeds(const bool with_silent_clients) {
     const auto seeds = Seeds();
     std::string faults;
     for (auto first = seeds.m_first; first <= seeds.m_last; first += kPlaysAtOnce) {
       std::vector<std::unique_ptr<SeedPlay>> plays;
       // Sites are created one after the other, since the stand-ins take their options from flags.
       for (auto seed = first; seed <= seeds.m_last && seed < first + kPlaysAtOnce; ++seed) {
-        plays.push_back(std::make_unique<SeedPlay>(seed));
+        plays.push_back(std::make_unique<SeedPlay>(seed, with_silent_clients));
       }
       for (auto& play : plays) play->Start();
       for (auto& play : plays) faults += play->Finish();
@@ -130,14 +174,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string{}, faults);
   }
 
- private:
   /// Play on a thread and a site of its own.
   class SeedPlay {
    public:
-    explicit SeedPlay(const std::uint64_t seed)
+    SeedPlay(const std::uint64_t seed, const bool with_silent_clients)
         : m_plan(DrawCancelPlan(seed, kEntries)), m_log_folder(MakeFolder()) {
       try {
-        m_site = std::make_unique<ProcessSite>(kEntries, kAgents, m_log_folder);
+        m_site = std::make_unique<ProcessSite>(kEntries, kAgents, m_log_folder,
+                                               with_silent_clients ? kFewRpcConnections : "");
+        if (with_silent_clients) m_silent_clients = std::make_unique<SilentClients>(*m_site);
       } catch (const std::exception& exception) {
         m_result.m_faults = {exception.what()};
       }
@@ -157,6 +202,7 @@
     /// Returns the faults, and removes the logs when there are none.
     std::string Finish() {
       if (m_thread.joinable()) m_thread.join();
+      m_silent_clients.reset();
       m_site.reset();
       std::string refused;
       for (const auto& [reason, count] : m_result.m_refused_by_entry_alone) {
@@ -187,6 +233,7 @@
     const CancelPlan m_plan;
     const std::string m_log_folder;
     std::unique_ptr<ProcessSite> m_site;
+    std::unique_ptr<SilentClients> m_silent_clients;
     CancelPlayResult m_result;
     std::thread m_thread;
   };
--- a/packages/daemon/scenarios/client_load.cc
+++ b/packages/daemon/scenarios/client_load.cc
@@ -84,7 +84,12 @@
 ClientLoad::~ClientLoad() {
   m_stopping = true;
   if (m_dripper.joinable()) m_dripper.join();
-  for (auto& connection : m_connections) Close(connection);
+  // A reset leaves no connection in state TIME_WAIT, which keeps its port for a minute.
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  for (auto& connection : m_connections) {
+    (void)::setsockopt(connection.m_socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    Close(connection);
+  }
 }
 
 int ClientLoad::Open() const {
