Ask the kernel for the owner of a connection in the tests' network

Cause: for each new connection the network of the process scenarios read /proc/net/tcp, which has a line for each connection of the last minute. With the connections that the soak of silent connections makes it took 50 to 100 ms with 30,000 lines, on the only thread of the network.

Change: one socket is asked for by its addresses through sock_diag; the table is read where that interface is missing. The look-up has a file of its own.

--- a/packages/daemon/scenarios/cut_network.cc
+++ b/packages/daemon/scenarios/cut_network.cc
@@ -8,20 +8,19 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
-#include <filesystem>
-#include <fstream>
+#include <cstring>
 #include <functional>
 #include <future>
 #include <list>
 #include <map>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "socket_owner.h"
+
 namespace ebonypin::daemon {
 namespace {
 
@@ -32,43 +31,11 @@
 constexpr std::size_t kBufferSize = 16'384;
 constexpr auto kListenIp = "127.0.0.1";
 
-/// Returns the port of "ADDRESS:PORT" in hexadecimal digits, as /proc/net/tcp has it.
-unsigned HexPort(const std::string& text) {
-  unsigned port = 0;
-  const auto* const begin = text.data() + text.find(':') + 1;
-  (void)std::from_chars(begin, text.data() + text.size(), port, 16);
-  return port;
-}
-
-/// Returns the inode of the socket with these ports, or nothing when there is none.
-std::optional<std::string> InodeOf(const unsigned local_port, const unsigned remote_port) {
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  std::getline(table, line);
-  while (std::getline(table, line)) {
-    std::istringstream words(line);
-    std::string number;
-    std::string local;
-    std::string remote;
-    std::string word;
-    words >> number >> local >> remote;
-    if (HexPort(local) != local_port || HexPort(remote) != remote_port) continue;
-    // Columns of no use here: state, queues, timer, retransmissions, user, timeout.
-    for (int i = 0; i < 6; ++i) words >> word;
-    words >> word;
-    return word;
-  }
-  return std::nullopt;
-}
-
-bool OwnsSocket(const pid_t process, const std::string& inode) {
-  const std::filesystem::path folder = "/proc/" + std::to_string(process) + "/fd";
-  std::error_code error;
-  for (const auto& file : std::filesystem::directory_iterator(folder, error)) {
-    const auto target = std::filesystem::read_symlink(file.path(), error);
-    if (!error && target == "socket:[" + inode + "]") return true;
-  }
-  return false;
+/// Returns an IPv4 endpoint as the calls of the system take it.
+sockaddr_in ToAddress(const tcp::endpoint& endpoint) {
+  sockaddr_in address{};
+  std::memcpy(&address, endpoint.data(), std::min(sizeof(address), endpoint.size()));
+  return address;
 }
 
 tcp::endpoint ParseEndpoint(const std::string& address) {
@@ -153,7 +120,7 @@
     const auto caller = socket.remote_endpoint(error);
     const auto own = socket.local_endpoint(error);
     if (error) return {};
-    const auto inode = InodeOf(caller.port(), own.port());
+    const auto inode = InodeOf(ToAddress(caller), ToAddress(own));
     if (!inode) return {};
     const auto found = std::find_if(m_processes.begin(), m_processes.end(), [&](const auto& entry) {
       return OwnsSocket(entry.second, *inode);
