--- a/review/play-3/lib.sh
+++ b/review/play-3/lib.sh
@@ -105,7 +105,7 @@
 
 # start_pair N SERVICE CPU: an agent and its worker.
 start_pair() {
-  port "worker-$1"
+  [ -n "${address[worker-$1]:-}" ] || port "worker-$1"
   address[worker-$1-used]=${address[worker-$1-used]:-${address[worker-$1]}}
   start_agent "$1"
   start_worker "$1" "$2" "$3"
@@ -150,3 +150,12 @@
   curl -s -m 1 "http://${address[worker-$1]}/sim/runs" | tr '{' '\n' | grep '"Task"' |
     sed -E 's/.*"How":"([^"]*)".*"Run":([0-9]+).*"Task":"([^"]*)".*/\3 \2 \1/' | sed 's/ $/ at-work/'
 }
+
+# start_gate N FILE PATH...: a proxy in front of worker N; see review/play-3/gate.cc. Call it before start_pair.
+start_gate() {
+  local n=$1
+  shift
+  port "worker-$n"
+  port "worker-$n-used"
+  launch "gate-$n" target/review-3/bin/gate "${address[worker-$n-used]##*:}" "${address[worker-$n]##*:}" hang "$@"
+}
