Review: a job whose progress exceeds a record stops everything

Cause: records and appends are not held to RecordBytes and CallBytes, and a refused append is repeated for good.

--- a/review/play-3/gate.cc
+++ b/review/play-3/gate.cc
@@ -8,6 +8,9 @@
 ///                                                        bytes, or with records of more than CALL bytes
 ///                                                        in all, is answered with 400, as the store's
 ///                                                        page limits both
+///     gate LISTEN_PORT TARGET_PORT save TEXT             each running task without a saved state, as
+///                                                        the project's worker lists them, is listed
+///                                                        with TEXT as its saved state
 ///
 /// Both ports are on 127.0.0.1. One line is printed for each request that was not passed on.
 #include <arpa/inet.h>
@@ -157,6 +160,24 @@
   return total > options.call_bytes ? "records of " + std::to_string(total) + " bytes in all" : std::string{};
 }
 
+/// Gives each row of `Running` in a worker's list the saved state.
+void AddSaved(const Options& options, Message& answer) {
+  const std::string none = ",\"\",";
+  const std::string saved = ",\"" + options.file + "\",";
+  std::string body;
+  std::size_t at = 0;
+  for (;;) {
+    const auto next = answer.body.find(none, at);
+    body += answer.body.substr(at, next - at);
+    if (next == std::string::npos) break;
+    body += saved;
+    at = next + none.size();
+  }
+  const auto first = answer.head.substr(0, answer.head.find("\r\n"));
+  answer.raw = first + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+}
+
 void Serve(const Options& options, const int fd) {
   Stream client(fd);
   const int target_fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -183,6 +204,7 @@
     }
     if (!target.Write(request.raw) || !target.Read(answer)) return;
     if (Hangs(options, path)) return client.AwaitEnd();
+    if (options.mode == "save" && path.compare(0, 5, "/hold") == 0) AddSaved(options, answer);
     if (!client.Write(answer.raw)) return;
   }
 }
@@ -190,7 +212,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc < 6) return 2;
+  if (argc < 5) return 2;
   Options options;
   options.listen_port = std::atoi(argv[1]);
   options.target_port = std::atoi(argv[2]);
@@ -198,7 +220,9 @@
   if (options.mode == "hang") {
     options.file = argv[4];
     options.paths.assign(argv + 5, argv + argc);
-  } else {
+  } else if (options.mode == "save") {
+    options.file = argv[4];
+  } else if (argc > 5) {
     options.record_bytes = std::strtoul(argv[4], nullptr, 10);
     options.call_bytes = std::strtoul(argv[5], nullptr, 10);
   }
--- a/review/play-3/lib.sh
+++ b/review/play-3/lib.sh
@@ -159,3 +159,16 @@
   port "worker-$n-used"
   launch "gate-$n" target/review-3/bin/gate "${address[worker-$n-used]##*:}" "${address[worker-$n]##*:}" hang "$@"
 }
+
+# start_saving_gate N TEXT: a proxy in front of worker N that lists running tasks with a saved state.
+start_saving_gate() {
+  port "worker-$1"
+  port "worker-$1-used"
+  launch "gate-$1" target/review-3/bin/gate "${address[worker-$1-used]##*:}" "${address[worker-$1]##*:}" save "$2"
+}
+
+# start_store_gate RECORD CALL: a proxy in front of the store that keeps to the limits of its page.
+start_store_gate() {
+  port store_used
+  launch gate-store target/review-3/bin/gate "${address[store_used]##*:}" "${address[store]##*:}" limit "$1" "$2"
+}
