--- a/review/play-3/lib.sh
+++ b/review/play-3/lib.sh
@@ -7,6 +7,7 @@
 record=$folder/record.txt
 system=target/bin/ebonypind
 standin=target/review-3/bin/ebonypin_standin
+http=target/review-3/bin/call
 work=$(mktemp -d)
 declare -A process address
 began=$(date +%s%3N)
@@ -61,14 +62,14 @@
   port store
   address[store_used]=${address[store]}
   launch store "$standin" --kind=store "--listen=${address[store]}"
-  wait_for 10 curl -s -m 1 -o /dev/null "http://${address[store]}/" || cannot "the store does not start"
+  wait_for 10 "$http" 500 GET "${address[store]}" / > /dev/null || cannot "the store does not start"
 }
 
 # put_config JSON
 put_config() {
   local text=${1//\"/\\\"}
-  curl -s -m 3 -X POST -H 'Content-Type: application/json' -o /dev/null "http://${address[store]}/faults" \
-    -d "{\"put\":{\"topic\":\"keyed.op\",\"key\":\"config\",\"value\":\"$text\"}}"
+  "$http" 3000 POST "${address[store]}" /faults \
+    "{\"put\":{\"topic\":\"keyed.op\",\"key\":\"config\",\"value\":\"$text\"}}" > /dev/null || cannot "the store takes no record"
   note "operator: op/config $1"
 }
 
@@ -124,8 +125,7 @@
 # call ENTRY METHOD PATH [BODY]: a client's call; sets `status` and `answer`.
 call() {
   local out
-  out=$(curl -s -m 3.2 -X "$2" -H 'Host: desk.example' -H 'Content-Type: application/json' \
-    -H 'Ebonypin-Deadline-Ms: 3000' -w '\n%{http_code}' ${4:+-d "$4"} "http://${address[entry-$1-front]}$3")
+  out=$("$http" 3200 "$2" "${address[entry-$1-front]}" "$3" "${4:-}" 'Host: desk.example' 'Ebonypin-Deadline-Ms: 3000')
   status=${out##*$'\n'}
   answer=${out%$'\n'*}
   note "client: $2 $3 at entry-$1 -> $status $answer"
@@ -147,7 +147,7 @@
 
 # runs N: what the worker has run in this life, one run a line, as TASK RUN STATE.
 runs() {
-  curl -s -m 1 "http://${address[worker-$1]}/sim/runs" | tr '{' '\n' | grep '"Task"' |
+  "$http" 1000 GET "${address[worker-$1]}" /sim/runs | tr '{' '\n' | grep '"Task"' |
     sed -E 's/.*"How":"([^"]*)".*"Run":([0-9]+).*"Task":"([^"]*)".*/\3 \2 \1/' | sed 's/ $/ at-work/'
 }
 
