Review: jobs that fill the memory of every coordinator, and stops that come late

Cause: accepted work is limited by the number of jobs, not by its tasks; an agent has eight calls open.

--- a/review/play-3/gate.cc
+++ b/review/play-3/gate.cc
@@ -4,6 +4,8 @@
 ///                                                        with one of PATH are read, and neither passed
 ///                                                        on nor answered; an answer that is due
 ///                                                        meanwhile is not given either
+///     gate LISTEN_PORT TARGET_PORT slow MS PATH...       requests whose path begins with one of PATH are
+///                                                        passed on MS milliseconds late
 ///     gate LISTEN_PORT TARGET_PORT limit RECORD CALL     /log-append with a record of more than RECORD
 ///                                                        bytes, or with records of more than CALL bytes
 ///                                                        in all, is answered with 400, as the store's
@@ -21,6 +23,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -140,12 +143,15 @@
   return request.head.substr(first + 1, request.head.find(' ', first + 1) - first - 1);
 }
 
-bool Hangs(const Options& options, const std::string& path) {
-  if (options.mode != "hang" || access(options.file.c_str(), F_OK) != 0) return false;
+bool Concerns(const Options& options, const std::string& path) {
   return std::any_of(options.paths.begin(), options.paths.end(),
                      [&](const std::string& prefix) { return path.compare(0, prefix.size(), prefix) == 0; });
 }
 
+bool Hangs(const Options& options, const std::string& path) {
+  return options.mode == "hang" && access(options.file.c_str(), F_OK) == 0 && Concerns(options, path);
+}
+
 /// Returns what is wrong with the records of an append, or an empty string.
 std::string Check(const Options& options, const std::string& body) {
   std::size_t at = 0;
@@ -193,6 +199,9 @@
       std::fflush(stdout);
       return client.AwaitEnd();
     }
+    if (options.mode == "slow" && Concerns(options, path)) {
+      std::this_thread::sleep_for(std::chrono::milliseconds{std::atoi(options.file.c_str())});
+    }
     if (options.mode == "limit" && path.compare(0, 11, "/log-append") == 0) {
       const auto error = Check(options, request.body);
       if (!error.empty()) {
@@ -217,7 +226,7 @@
   options.listen_port = std::atoi(argv[1]);
   options.target_port = std::atoi(argv[2]);
   options.mode = argv[3];
-  if (options.mode == "hang") {
+  if (options.mode == "hang" || options.mode == "slow") {
     options.file = argv[4];
     options.paths.assign(argv + 5, argv + argc);
   } else if (options.mode == "save") {
--- a/review/play-3/lib.sh
+++ b/review/play-3/lib.sh
@@ -172,3 +172,12 @@
   port store_used
   launch gate-store target/review-3/bin/gate "${address[store_used]##*:}" "${address[store]##*:}" limit "$1" "$2"
 }
+
+# start_slow_gate N MS PATH...: a proxy in front of worker N that passes calls on late.
+start_slow_gate() {
+  local n=$1
+  shift
+  port "worker-$n"
+  port "worker-$n-used"
+  launch "gate-$n" target/review-3/bin/gate "${address[worker-$n-used]##*:}" "${address[worker-$n]##*:}" slow "$@"
+}
