Let the stand-ins limit appends, list saved states and take time for stops

The store stand-in takes records and appends of any size, and the worker stand-in stops at once and saves nothing, so no test sees what the users' platform does with large records and many slow stops.

The store refuses records and appends beyond RecordBytes and CallBytes of the platform's pages with 400, and counts them; the worker lists a saved state of a given length, lists 500 ends at a time, and takes a given time for a stop.

--- a/packages/daemon/scenarios/fleet_site.cc
+++ b/packages/daemon/scenarios/fleet_site.cc
@@ -135,6 +135,10 @@
   (void)SendHttp(m_store_address, "POST", "/faults", json);
 }
 
+int FleetSite::RefusedAppends() const {
+  return SumOf({GetText(m_store_address, "/sim")}, "refused");
+}
+
 void FleetSite::SetWorkerFaults(const std::size_t worker, const std::string& json) const {
   (void)SendHttp(m_agent_addresses[worker].m_worker, "POST", "/faults", json);
 }
--- a/packages/daemon/scenarios/fleet_site.h
+++ b/packages/daemon/scenarios/fleet_site.h
@@ -45,6 +45,8 @@
   [[nodiscard]] int Running() const;
 
   void SetStoreFaults(const std::string& json) const;
+  /// Returns the number of appends that the store refused because of their sizes.
+  [[nodiscard]] int RefusedAppends() const;
   void SetWorkerFaults(std::size_t worker, const std::string& json) const;
   /// Puts a record into a topic of the store, as another writer may.
   void PutRecord(const std::string& topic, const std::string& key, const std::string& value) const;
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -11,6 +11,8 @@
 ///                  {"late_starts": n}     the next n starts are not answered and done 1 s later
 ///                  {"restart": true}      the worker begins a new life under its id
 ///                  {"draining": true}     heartbeats say so
+///                  {"state_bytes": n}     runs and ends list a saved state of n bytes
+///                  {"stop_ms": n}         a stop is done, and answered, after n ms
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
 #include <gflags/gflags.h>
@@ -41,6 +43,8 @@
 constexpr auto kTickInterval = 5ms;
 constexpr auto kLateBy = 1s;
 constexpr std::int64_t kMemoryMb = 64'000;
+/// Ends that a hold call lists at a time.
+constexpr std::size_t kMaxEnds = 500;
 
 WorkerTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -85,6 +89,14 @@
     std::uint64_t m_ends = 0;  ///< Number of the next end when it arrived.
   };
 
+  struct SlowStop {
+    http_request m_request;
+    WorkerTime m_due;
+    std::int64_t m_born = 0;
+    std::string m_task;
+    std::uint64_t m_run = 0;
+  };
+
   struct LateStart {
     WorkerTime m_due;
     std::int64_t m_born = 0;
@@ -162,8 +174,12 @@
       const auto reason = StartOf(body);
       Reply(request, reason.empty() ? status_codes::OK : status_codes::Conflict, reason);
     } else if (path == "/run-stop") {
-      Stop(m_sim, Now(), body.at("Task").as_string(), body.at("Run").as_number().to_uint64());
-      Reply(request, status_codes::OK, {});
+      m_stops.push_back({.m_request = request,
+                         .m_due = Now() + m_stop_time,
+                         .m_born = m_born_wall,
+                         .m_task = body.at("Task").as_string(),
+                         .m_run = body.at("Run").as_number().to_uint64()});
+      CarryOutStops();
     } else if (path == "/hold") {
       Hold(request, body);
     } else {
@@ -193,10 +209,26 @@
     m_holds.push_back({.m_request = request, .m_until = Now() + wait, .m_ends = m_sim.m_next_end});
   }
 
+  void CarryOutStops() {
+    const auto now = Now();
+    std::erase_if(m_stops, [&](const SlowStop& stop) {
+      if (now < stop.m_due) return false;
+      if (stop.m_born == m_born_wall) Stop(m_sim, now, stop.m_task, stop.m_run);
+      Reply(stop.m_request, status_codes::OK, {});
+      return true;
+    });
+  }
+
   void SetFaults(const http_request& request, const value& json) {
     if (json.has_field("silent")) m_silent = json.at("silent").as_bool();
     if (json.has_field("late_starts")) m_late_starts = json.at("late_starts").as_integer();
     if (json.has_field("draining")) m_draining = json.at("draining").as_bool();
+    if (json.has_field("state_bytes")) {
+      m_state.assign(json.at("state_bytes").as_number().to_uint64(), 's');
+    }
+    if (json.has_field("stop_ms")) {
+      m_stop_time = std::chrono::milliseconds{json.at("stop_ms").as_integer()};
+    }
     if (json.has_field("restart")) Restart();
     request.reply(status_codes::OK);
   }
@@ -220,14 +252,15 @@
     std::vector<value> running;
     for (const auto& [task, run] : m_sim.m_runs) {
       running.push_back(
-          value::array({value::string(task), value::number(run.m_run), value::string(""),
+          value::array({value::string(task), value::number(run.m_run), value::string(m_state),
                         value::number(Percent(run, Now())), value::number(0)}));
     }
     std::vector<value> ended;
     for (const auto& end : m_sim.m_ends) {
-      ended.push_back(
-          value::array({value::number(end.m_number), value::string(end.m_task),
-                        value::number(end.m_run), value::string(end.m_how), value::string("")}));
+      if (ended.size() == kMaxEnds) break;
+      ended.push_back(value::array({value::number(end.m_number), value::string(end.m_task),
+                                    value::number(end.m_run), value::string(end.m_how),
+                                    value::string(m_state)}));
     }
     json["Running"] = value::array(std::move(running));
     json["Ended"] = value::array(std::move(ended));
@@ -241,6 +274,7 @@
       if (m_stopping) return;
       const auto now = Now();
       Advance(m_sim, now);
+      CarryOutStops();
       std::erase_if(m_late, [&](const LateStart& late) {
         if (now < late.m_due) return false;
         if (late.m_born == m_born_wall) (void)StartOf(late.m_body);
@@ -306,6 +340,9 @@
   bool m_silent = false;
   bool m_draining = false;
   int m_late_starts = 0;
+  std::string m_state;
+  std::chrono::milliseconds m_stop_time{};
+  std::vector<SlowStop> m_stops;
   std::uint64_t m_refused_tickets = 0;
   RunWorkerSim m_sim;
   std::int64_t m_born_wall = 0;
--- a/packages/standin/src/store/keyed_log.cc
+++ b/packages/standin/src/store/keyed_log.cc
@@ -9,6 +9,17 @@
 
 }  // namespace
 
+std::string CheckSizes(const std::vector<StoreRecord>& records, const StoreLimits& limits) {
+  std::size_t sum = 0;
+  for (const auto& record : records) {
+    sum += record.m_bytes.size();
+    if (record.m_bytes.size() > limits.m_record) {
+      return "a record of " + std::to_string(record.m_bytes.size()) + " bytes";
+    }
+  }
+  return sum > limits.m_append ? "records of " + std::to_string(sum) + " bytes" : std::string{};
+}
+
 AppendResult KeyedLog::Append(const AppendCall& call) {
   AppendResult result{.m_offset = End(), .m_end = End()};
   if (!call.m_producer.empty()) {
--- a/packages/standin/src/store/keyed_log.h
+++ b/packages/standin/src/store/keyed_log.h
@@ -40,6 +40,16 @@
   std::uint64_t m_offset = 0;
 };
 
+/// Limits on what a call appends, in bytes.
+struct StoreLimits {
+  std::size_t m_record = 262'144;    ///< RecordBytes of the platform's pages.
+  std::size_t m_append = 2'097'152;  ///< CallBytes of the platform's pages.
+};
+
+/// Returns why the records are refused, or an empty string.
+[[nodiscard]] std::string CheckSizes(const std::vector<StoreRecord>& records,
+                                     const StoreLimits& limits);
+
 /// One partition.
 class KeyedLog {
  public:
--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -3,11 +3,15 @@
 /// It serves /log-append, /log-read, /log-newest, /log-join, /log-leave and /log-owners as the
 /// platform's pages describe them, with twelve partitions a topic, and
 ///
+///     GET  /sim                              -> {"refused": n}, appends that exceeded the limits
+///
 ///     POST /faults {"down": true}            everything is refused with 503
 ///                  {"lose_answers": n}       the next n appends are done and not answered
 ///                  {"hold_append": true}     the next append of records is done after the one that
 ///                                            follows it, at the latest after 500 ms
 ///                  {"drop_history": true}    only the newest record of each key stays
+///                  {"record_bytes": n}    larger records are refused with 400
+///                  {"append_bytes": n}    larger appends are refused with 400
 ///                  {"put": {"topic": t, "key": k, "value": v}}    appends a record, as operators
 ///                  do
 #include <cpprest/http_listener.h>
@@ -125,6 +129,12 @@
     const auto query = web::uri::split_query(request.relative_uri().query());
     const std::lock_guard lock(m_mutex);
     if (path == "/faults") return SetFaults(request, value::parse(Text(body)));
+    if (path == "/sim") {
+      value json = value::object();
+      json["refused"] = value::number(m_refused);
+      request.reply(status_codes::OK, json);
+      return;
+    }
     if (m_down) {
       request.reply(status_codes::ServiceUnavailable);
     } else if (path == "/log-append") {
@@ -157,6 +167,12 @@
     if (json.has_field("drop_history")) {
       for (auto& [topic, log] : m_topics) log.DropHistory();
     }
+    if (json.has_field("record_bytes")) {
+      m_limits.m_record = json.at("record_bytes").as_number().to_uint64();
+    }
+    if (json.has_field("append_bytes")) {
+      m_limits.m_append = json.at("append_bytes").as_number().to_uint64();
+    }
     if (json.has_field("put")) Put(json.at("put"));
     request.reply(status_codes::OK);
   }
@@ -174,6 +190,11 @@
                     .m_producer = Get(query, "Producer"),
                     .m_epoch = GetNumber(query, "epoch"),
                     .m_sequence = GetNumber(query, "Seq")};
+    if (const auto reason = CheckSizes(call.m_records, m_limits); !reason.empty()) {
+      ++m_refused;
+      request.reply(status_codes::BadRequest, reason);
+      return;
+    }
     if (query.count("At") > 0) call.m_at = GetNumber(query, "At");
     if (m_hold_append && !call.m_records.empty()) {
       m_hold_append = false;
@@ -299,6 +320,8 @@
   bool m_down = false;
   int m_lose_answers = 0;
   bool m_hold_append = false;
+  StoreLimits m_limits;
+  std::uint64_t m_refused = 0;  ///< Appends that exceeded the limits.
   std::optional<HeldAppend> m_held;
   std::map<std::string, KeyedLog> m_topics;
   std::map<std::string, MemberGroup> m_groups;
