Store the progress of a job in parts, and cut appends at their limit

Cause: the progress of a job was one record, written whole with each batch of its ends. With 4,000 such tasks it takes 342,000 bytes; the store takes 262,144, refuses the append, and the coordinator repeats it. All that waits goes into one append besides, so records that the store takes can exceed its limit together.

Change: the progress is kept in parts of 16 tasks, each with a key of its own, and only parts that changed are written. An append is cut at the limit. Submissions come before progress, part 0 after the parts that take tasks over from it, a closed job and the removals of its parts together, and ends are acknowledged to workers with the last record that they changed. A part read without its submission, or of a closed job, is removed; a gang recorded as done in part is done; of two records of a task the one with the later run counts, since earlier versions write all tasks into part 0.

A successor that reads some parts old misses only ends that no worker was allowed to forget.

In the generated histories every other coordinator now cuts its appends. Their store kept one record of a job's progress and did not remove it; it now has one for each key, as the platform's store does.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -26,6 +26,7 @@
 #include "ebonypin/core/fleet/image_pairs.h"
 #include "ebonypin/core/fleet/messages.h"
 #include "ebonypin/core/fleet/pacing.h"
+#include "ebonypin/core/fleet/record_size.h"
 #include "ebonypin/core/fleet/records.h"
 #include "ebonypin/core/fleet/takeover.h"
 #include "ebonypin/core/fleet/worker_health.h"
@@ -131,6 +132,7 @@
   /// Least time between two lists of workers that show a worker as ended. The list may lag behind a
   /// worker that has just started.
   Duration m_unlisted_time = std::chrono::milliseconds{1000};
+  RecordLimits m_record_limits;
   WorkerHealthOptions m_health;
   PacingOptions m_pacing;  ///< Must be the same as the agents use.
 };
@@ -223,6 +225,9 @@
   std::map<std::uint32_t, Occurrence> m_occurrences;  ///< Open occurrences by number.
   std::set<std::uint32_t> m_closed_occurrences;
   std::uint32_t m_next_occurrence = 0;
+  std::set<std::uint32_t> m_unwritten_parts;  ///< Parts of the progress that are to be written.
+  /// Parts other than part 0 that have, or will have, a record in the store.
+  std::set<std::uint32_t> m_stored_parts;
   /// A submission has arrived. If not, only a cancel has: it is kept, so that the submission, when
   /// it arrives later, does not run.
   bool m_submitted = true;
@@ -372,8 +377,8 @@
   std::uint64_t m_next_session = 1;
   /// Number of stray runs by task. A task is not started while a stray run of it may be running.
   std::map<TaskRef, std::uint32_t> m_strays;
-  std::set<JobId> m_unwritten_jobs;  ///< Jobs whose submission is to be written.
-  std::set<JobId> m_unwritten_progress;
+  std::set<JobId> m_unwritten_jobs;      ///< Jobs whose submission is to be written.
+  std::set<JobId> m_unwritten_progress;  ///< Jobs with unwritten parts; see MarkUnwritten.
   std::set<AgentId> m_unwritten_members;
   std::uint64_t m_record_requests = 0;  ///< Number of requests to write a member record.
   std::vector<std::string> m_removed_keys;
@@ -448,7 +453,9 @@
 /// coordinator may act (see MayAct in leadership.h).
 void Plan(Coordinator& state, Time now, WallMillis wall);
 
-/// Returns the records to append next and marks them as being written.
+/// Returns the records to append next, as many as one append takes, and marks them as being
+/// written. What is left is returned by later calls. Ends of runs are part of the batch with the
+/// last record that they changed, or of a later one.
 [[nodiscard]] WriteBatch TakeWrites(Coordinator& state, WallMillis wall);
 
 [[nodiscard]] bool HasWrites(const Coordinator& state) noexcept;
--- a/packages/core/include/ebonypin/core/fleet/job.h
+++ b/packages/core/include/ebonypin/core/fleet/job.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -99,10 +100,15 @@
   kAlone,    ///< The run waited too long for the other members of its gang.
 };
 
-/// Limits of an accepted job; they keep the state of one job below 1 MiB.
+/// Limits of an accepted job. They bound the memory that it takes; its records are bounded by
+/// kTasksPerPart and by RecordLimits.
 inline constexpr std::uint32_t kMaxSteps = 64;
 inline constexpr std::uint32_t kMaxTasksPerJob = 4096;
 inline constexpr std::uint32_t kMaxOccurrences = 4096;
+/// Largest saved state of a task, in bytes; a larger one is treated as not saved, and the task then
+/// starts again from the newest state within the limit. Messages and records hold several states,
+/// and a message is limited to 1 MiB.
+inline constexpr std::size_t kMaxCheckpointBytes = 10'240;
 /// Longest estimate, target or interval. Sums and multiples of it fit into a Duration.
 inline constexpr Duration kMaxSpan = std::chrono::hours{24 * 365 * 4};
 /// Largest component of the size of a task; the sum over all tasks fits into 64 bits.
--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -1,8 +1,13 @@
 /// Records in the store's keyed topic, the only state that survives the loss of all processes.
 ///
 /// Each record has a key, and the store keeps the newest record of a key. A job has one record of
-/// its submission, which is written once, and one of its progress, which is rewritten on each
-/// change.
+/// its submission, which is written once, and records of its progress. Each of these, a part, holds
+/// a fixed group of tasks and is rewritten when one of them changes, so that what is written for a
+/// change does not grow with the job, and no record exceeds what the store takes.
+///
+/// Parts of a job may come from different times: a coordinator may end between two appends. Each
+/// task is in one part only, and a part that was not written yet shows tasks in an earlier state,
+/// whose ends no worker was allowed to forget.
 #pragma once
 
 #include <cstdint>
@@ -30,6 +35,7 @@
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
+/// Part of a job's progress. Part 0 also describes the job as a whole.
 struct JobProgress {
   JobId m_job;
   bool m_cancelled = false;  ///< Also without a submission, which may arrive later.
@@ -39,10 +45,15 @@
   bool m_begun = false;  ///< An agent has listed a run of it.
   std::vector<std::uint32_t> m_closed_occurrences;
   std::vector<TaskProgress> m_tasks;
+  std::uint32_t m_part = 0;  ///< See PartOf.
 
   friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
 
+/// Tasks in one part of a job's progress. With states of kMaxCheckpointBytes a part still fits into
+/// a record of 256 KiB, which the platform's store takes.
+inline constexpr std::uint32_t kTasksPerPart = 16;
+
 /// Agent that the coordinator may give grants to.
 struct MemberRecord {
   AgentId m_agent;
@@ -93,8 +104,16 @@
                                   SettledRecord, RemovedRecord>;
 
 [[nodiscard]] std::string JobKey(const JobId& job);
-[[nodiscard]] std::string ProgressKey(const JobId& job);
+[[nodiscard]] std::string ProgressKey(const JobId& job, std::uint32_t part = 0);
 [[nodiscard]] std::string MemberKey(const AgentId& agent);
+
+/// Returns the part of the job's progress that holds the task: parts are numbered by occurrence,
+/// and within it by groups of kTasksPerPart tasks in the order of steps and indices.
+[[nodiscard]] std::uint32_t PartOf(const JobSpec& job, const TaskRef& task) noexcept;
+
+/// Returns the first part of an occurrence.
+[[nodiscard]] std::uint32_t FirstPart(const JobSpec& job, std::uint32_t occurrence) noexcept;
+
 inline constexpr std::string_view kImagePairsKey = "pairs";
 inline constexpr std::string_view kSettledKey = "settled";
 
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -375,6 +375,7 @@
 void FinishRestore(Coordinator& state, const Time now, const SilentWait& wait) {
   state.m_silent_wait = wait;
   state.m_restored_at = now;
+  CompleteGangs(state);
   for (auto& [id, job] : state.m_jobs) job.m_accepted = job.m_last_ran = now;
 }
 
--- a/packages/core/src/fleet/coordinator_crashes.cc
+++ b/packages/core/src/fleet/coordinator_crashes.cc
@@ -28,7 +28,7 @@
   if (std::find(crashes.begin(), crashes.end(), run.m_run) != crashes.end()) return;
   crashes.push_back(run.m_run);
   task->m_suspect = true;
-  state.m_unwritten_progress.insert(run.m_task.m_job);
+  MarkUnwritten(state, *job, run.m_task);
   const auto count = std::to_string(crashes.size());
   LogFailure(state, "worker crashed", run.m_task, run.m_run, agent.m_id,
              "the run was " + std::to_string(run.m_age.count() / 1000) + " ms old" +
@@ -64,7 +64,7 @@
   if (!task.m_suspect) return;
   task.m_suspect = task.m_given_up = false;
   task.m_crashes.clear();
-  state.m_unwritten_progress.insert(ref.m_job);
+  if (Job* const job = FindJob(state, ref.m_job)) MarkUnwritten(state, *job, ref);
   LogDecision(state, "suspicion cleared", ref, task.m_run, task.m_agent,
               "the run has not crashed its worker");
   const auto agent = state.m_agents.find(task.m_agent);
--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -103,6 +103,16 @@
 /// done just before.
 void RefreshFillingRoom(Coordinator& state, Time now);
 
+/// Lets the part of the job's progress be written that holds the task.
+void MarkUnwritten(Coordinator& state, Job& job, const TaskRef& ref);
+
+/// Lets part 0 of the job's progress be written, which describes the job as a whole.
+void MarkUnwritten(Coordinator& state, Job& job);
+
+/// Finishes gangs that an earlier coordinator has recorded as done in part: the end of one member
+/// counts for all members.
+void CompleteGangs(Coordinator& state);
+
 /// Handles the end of a run. Repeated ends have no effect.
 void OnEnd(Coordinator& state, Time now, Agent& agent, const RunEnded& end);
 
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -35,7 +35,7 @@
   job.m_closed = true;
   job.m_phase = phase;
   state.m_open_jobs.erase(job.m_spec.m_id);
-  state.m_unwritten_progress.insert(job.m_spec.m_id);
+  MarkUnwritten(state, job);
 }
 
 /// Keeps the cancel of a job whose submission has not arrived, and may arrive later: it may wait in
@@ -57,13 +57,17 @@
   job.m_submitted = true;
   job.m_closed_at = 0;
   state.m_unwritten_jobs.insert(spec.m_id);
-  state.m_unwritten_progress.insert(spec.m_id);
+  MarkUnwritten(state, job);
   LogDecision(state, "job submitted", {.m_job = spec.m_id}, 0, {}, "after its cancel; not run");
 }
 
 void CloseOccurrence(Coordinator& state, Job& job, const std::uint32_t number) {
   job.m_occurrences.erase(number);
   job.m_closed_occurrences.insert(number);
+  MarkUnwritten(state, job);
+  // The parts of the occurrence are removed.
+  job.m_unwritten_parts.insert(job.m_stored_parts.lower_bound(FirstPart(job.m_spec, number)),
+                               job.m_stored_parts.lower_bound(FirstPart(job.m_spec, number + 1)));
   const std::uint32_t total = std::max(job.m_spec.m_times, 1U);
   if (job.m_closed_occurrences.size() == total) Close(state, job, JobPhase::kDone);
 }
@@ -128,16 +132,18 @@
   if (--occurrence.m_steps_left == 0) CloseOccurrence(state, job, ref.m_occurrence);
 }
 
-/// Finishes all tasks of a gang: the end of one member counts for all members of the run.
-void FinishGang(Coordinator& state, Job& job, const RunEnded& end) {
+/// Finishes all tasks of the gang of `ref`: the end of one member counts for all members of the
+/// run.
+void FinishGang(Coordinator& state, Job& job, const TaskRef& ref, const RunNumber run) {
   const auto count = static_cast<std::uint32_t>(
-      job.m_occurrences.at(end.m_task.m_occurrence).m_steps[end.m_task.m_step].m_tasks.size());
+      job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step].m_tasks.size());
   for (std::uint32_t i = 0; i < count && !job.m_closed; ++i) {
-    TaskRef member = end.m_task;
+    TaskRef member = ref;
     member.m_index = i;
     Task* const task = FindTask(state, member);
     if (task == nullptr || task->m_phase == TaskPhase::kDone) continue;
-    task->m_run = std::max(task->m_run, end.m_run);
+    task->m_run = std::max(task->m_run, run);
+    MarkUnwritten(state, job, member);
     Finish(state, job, member, *task);
   }
 }
@@ -164,6 +170,51 @@
   task.m_waits_since = now;
 }
 
+/// Restores what part 0 says about the job as a whole.
+void RestoreJob(Coordinator& state, Job& job, const JobProgress& progress) {
+  job.m_cancelled = progress.m_cancelled;
+  if (progress.m_closed) {
+    job.m_closed = true;
+    state.m_open_jobs.erase(progress.m_job);
+    job.m_closed_at = progress.m_closed_at;
+    job.m_phase = job.m_recorded_phase = progress.m_phase;
+    job.m_occurrences.clear();
+    return;
+  }
+  const std::uint32_t total = std::max(job.m_spec.m_times, 1U);
+  for (const auto number : progress.m_closed_occurrences) {
+    if (number >= total) continue;
+    job.m_occurrences.erase(number);
+    job.m_closed_occurrences.insert(number);
+  }
+}
+
+/// Restores a task from a record of `part`. Coordinators of earlier versions write all tasks into
+/// part 0, so a task may be found in two records; the one with the later run is newer.
+void RestoreTask(Coordinator& state, Job& job, const std::uint32_t part, TaskProgress& stored) {
+  if (stored.m_occurrence >= std::max(job.m_spec.m_times, 1U)) return;
+  OpenOccurrence(job, stored.m_occurrence);
+  const TaskRef ref{.m_job = job.m_spec.m_id,
+                    .m_occurrence = stored.m_occurrence,
+                    .m_step = stored.m_step,
+                    .m_index = stored.m_index};
+  Task* const task = FindTask(state, ref);
+  if (task == nullptr || task->m_phase == TaskPhase::kDone) return;
+  const bool older = !stored.m_done && stored.m_run < task->m_recorded_run;
+  if (older) return;
+  if (PartOf(job.m_spec, ref) != part) {
+    // The task moves from part 0, which is written without it, to its own part.
+    MarkUnwritten(state, job, ref);
+    MarkUnwritten(state, job);
+  }
+  task->m_run = task->m_recorded_run = std::max(task->m_recorded_run, stored.m_run);
+  task->m_failures = std::max(task->m_failures, stored.m_failures);
+  task->m_checkpoint = std::move(stored.m_checkpoint);
+  task->m_crashes = std::move(stored.m_crashes);
+  task->m_suspect = !task->m_crashes.empty();
+  if (stored.m_done) Finish(state, job, ref, *task);
+}
+
 }  // namespace
 
 Job* FindJob(Coordinator& state, const JobId& job) noexcept {
@@ -187,6 +238,16 @@
                                                                : nullptr;
 }
 
+void MarkUnwritten(Coordinator& state, Job& job, const TaskRef& ref) {
+  job.m_unwritten_parts.insert(PartOf(job.m_spec, ref));
+  state.m_unwritten_progress.insert(job.m_spec.m_id);
+}
+
+void MarkUnwritten(Coordinator& state, Job& job) {
+  job.m_unwritten_parts.insert(0);
+  state.m_unwritten_progress.insert(job.m_spec.m_id);
+}
+
 void OpenOccurrence(Job& job, const std::uint32_t number) {
   if (job.m_closed_occurrences.count(number) > 0) return;
   auto& occurrence = job.m_occurrences[number];
@@ -268,7 +329,7 @@
   if (newest && !end.m_checkpoint.empty()) task->m_checkpoint = end.m_checkpoint;
   if (job->m_closed) return;
   job->m_begun = true;
-  state.m_unwritten_progress.insert(job->m_spec.m_id);
+  MarkUnwritten(state, *job, end.m_task);
   const bool own_end = end.m_outcome == RunOutcome::kDone || end.m_outcome == RunOutcome::kFailed;
   if (newest && own_end) ClearSuspicion(state, end.m_task, *task);
   switch (end.m_outcome) {
@@ -278,7 +339,7 @@
         OnSuccess(agent.m_health, now, run_time, spec.m_estimate, state.m_options.m_health);
       }
       if (spec.m_gang) {
-        FinishGang(state, *job, end);
+        FinishGang(state, *job, end.m_task, end.m_run);
       } else {
         Finish(state, *job, end.m_task, *task);
       }
@@ -295,6 +356,26 @@
   }
 }
 
+void CompleteGangs(Coordinator& state) {
+  std::vector<std::pair<TaskRef, RunNumber>> done;
+  for (const auto& id : state.m_open_jobs) {
+    const Job& job = state.m_jobs.at(id);
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        if (!job.m_spec.m_steps[step].m_gang) continue;
+        const auto& tasks = occurrence.m_steps[step].m_tasks;
+        const auto found = std::find_if(tasks.begin(), tasks.end(), [](const Task& task) {
+          return task.m_phase == TaskPhase::kDone;
+        });
+        if (found == tasks.end() || occurrence.m_steps[step].m_left == 0) continue;
+        done.emplace_back(TaskRef{.m_job = id, .m_occurrence = number, .m_step = step},
+                          found->m_run);
+      }
+    }
+  }
+  for (const auto& [ref, run] : done) FinishGang(state, state.m_jobs.at(ref.m_job), ref, run);
+}
+
 std::optional<JobCallReply> OnCall(Coordinator& state, const Time now, const JobCall& call) {
   Job* const job = FindJob(state, call.m_job.m_id);
   switch (call.m_kind) {
@@ -386,45 +467,26 @@
 
 void Restore(Coordinator& state, JobProgress progress) {
   Job* job = FindJob(state, progress.m_job);
+  const bool leftover = job == nullptr ? !progress.m_cancelled || progress.m_part > 0
+                                       : job->m_closed && progress.m_part > 0;
+  if (leftover) {
+    // Progress without a submission, and parts of a closed job, remain from a removal that was not
+    // completed.
+    return state.m_removed_keys.push_back(ProgressKey(progress.m_job, progress.m_part));
+  }
   if (job == nullptr) {
-    // Other progress without a submission remains from a removal that was not completed.
-    if (!progress.m_cancelled) return state.m_removed_keys.push_back(ProgressKey(progress.m_job));
     job = &state.m_jobs[progress.m_job];
     job->m_spec.m_id = progress.m_job;
     job->m_submitted = false;
   }
-  job->m_begun = progress.m_begun;
-  job->m_cancelled = progress.m_cancelled;
-  if (progress.m_closed) {
-    job->m_closed = true;
-    state.m_open_jobs.erase(progress.m_job);
-    job->m_closed_at = progress.m_closed_at;
-    job->m_phase = job->m_recorded_phase = progress.m_phase;
-    job->m_occurrences.clear();
-    return;
-  }
-  const std::uint32_t total = std::max(job->m_spec.m_times, 1U);
-  for (const auto number : progress.m_closed_occurrences) {
-    if (number >= total) continue;
-    job->m_occurrences.erase(number);
-    job->m_closed_occurrences.insert(number);
-  }
-  for (auto& stored : progress.m_tasks) {
-    if (stored.m_occurrence >= total) continue;
-    OpenOccurrence(*job, stored.m_occurrence);
-    const TaskRef ref{.m_job = progress.m_job,
-                      .m_occurrence = stored.m_occurrence,
-                      .m_step = stored.m_step,
-                      .m_index = stored.m_index};
-    Task* const task = FindTask(state, ref);
-    if (task == nullptr || task->m_phase == TaskPhase::kDone) continue;
-    task->m_run = task->m_recorded_run = stored.m_run;
-    task->m_failures = stored.m_failures;
-    task->m_checkpoint = std::move(stored.m_checkpoint);
-    task->m_crashes = std::move(stored.m_crashes);
-    task->m_suspect = !task->m_crashes.empty();
-    if (stored.m_done) Finish(state, *job, ref, *task);
+  job->m_begun = job->m_begun || progress.m_begun;
+  if (progress.m_part == 0) {
+    RestoreJob(state, *job, progress);
+  } else {
+    job->m_stored_parts.insert(progress.m_part);
   }
+  if (job->m_closed) return;
+  for (auto& stored : progress.m_tasks) RestoreTask(state, *job, progress.m_part, stored);
 }
 
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -130,8 +130,12 @@
       ++job;
       continue;
     }
-    state.m_removed_keys.push_back(ProgressKey(job->first));
+    // The submission goes first: without its progress the job would be run again by a successor.
     state.m_removed_keys.push_back(JobKey(job->first));
+    for (const auto part : job->second.m_stored_parts) {
+      state.m_removed_keys.push_back(ProgressKey(job->first, part));
+    }
+    state.m_removed_keys.push_back(ProgressKey(job->first));
     job = state.m_jobs.erase(job);
   }
 }
--- a/packages/core/src/fleet/coordinator_writes.cc
+++ b/packages/core/src/fleet/coordinator_writes.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "coordinator_internal.h"
@@ -5,43 +7,165 @@
 namespace ebonypin::core::fleet {
 namespace {
 
-JobProgress ProgressOf(Job& job, const WallMillis wall) {
+/// Records of one append that are being collected.
+struct BatchInProgress {
+  WriteBatch m_batch;
+  std::size_t m_bytes = 0;  ///< Upper bound.
+  std::size_t m_max_bytes = 0;
+  bool m_full = false;  ///< A record did not fit: what follows it has to wait for the next append.
+};
+
+/// Adds all changes or, when they do not fit, none. The first ones of an append always fit.
+bool AddAll(BatchInProgress& append, std::vector<RecordChange> changes) {
+  std::size_t bytes = 0;
+  for (const auto& change : changes) bytes += MaxRecordBytes(change);
+  auto& records = append.m_batch.m_records;
+  if (append.m_full || (!records.empty() && append.m_bytes + bytes > append.m_max_bytes)) {
+    append.m_full = true;
+    return false;
+  }
+  append.m_bytes += bytes;
+  records.insert(records.end(), std::make_move_iterator(changes.begin()),
+                 std::make_move_iterator(changes.end()));
+  return true;
+}
+
+bool Add(BatchInProgress& append, RecordChange change) {
+  return AddAll(append, {std::move(change)});
+}
+
+std::optional<TaskProgress> ProgressOf(const Task& task, const TaskRef& ref) {
+  const bool done = task.m_phase == TaskPhase::kDone;
+  const bool placed = task.m_phase == TaskPhase::kPlaced;
+  const bool initial =
+      !done && task.m_failures == 0 && task.m_checkpoint.empty() && task.m_crashes.empty();
+  if (initial) return std::nullopt;
+  return TaskProgress{.m_occurrence = ref.m_occurrence,
+                      .m_step = ref.m_step,
+                      .m_index = ref.m_index,
+                      .m_done = done,
+                      .m_failures = task.m_failures,
+                      .m_run = placed ? task.m_run - 1 : task.m_run,
+                      .m_checkpoint = task.m_checkpoint,
+                      .m_crashes = task.m_crashes};
+}
+
+/// Returns the progress of the tasks in `part` that are not in their initial state.
+std::vector<TaskProgress> TasksOf(const Job& job, const std::uint32_t part) {
+  std::vector<TaskProgress> progress;
+  const auto parts = std::max(FirstPart(job.m_spec, 1), 1U);
+  const auto found = job.m_occurrences.find(part / parts);
+  if (found == job.m_occurrences.end()) return progress;
+  const std::uint32_t begin = part % parts * kTasksPerPart;
+  const std::uint32_t end = begin + kTasksPerPart;
+  std::uint32_t first = 0;  // Position of the step's first task in the occurrence.
+  const auto& steps = found->second.m_steps;
+  for (std::uint32_t step = 0; step < steps.size() && first < end; ++step) {
+    const auto& tasks = steps[step].m_tasks;
+    const auto count = static_cast<std::uint32_t>(tasks.size());
+    const auto last = std::min(end - first, count);
+    for (std::uint32_t i = begin > first ? begin - first : 0; i < last; ++i) {
+      auto task = ProgressOf(
+          tasks[i],
+          {.m_job = job.m_spec.m_id, .m_occurrence = found->first, .m_step = step, .m_index = i});
+      if (task) progress.push_back(std::move(*task));
+    }
+    first += count;
+  }
+  return progress;
+}
+
+JobProgress PartRecord(const Job& job, const std::uint32_t part, const RecordLimits& limits) {
   JobProgress progress{.m_job = job.m_spec.m_id,
                        .m_cancelled = job.m_cancelled,
-                       .m_closed = job.m_closed,
                        .m_phase = job.m_phase,
-                       .m_begun = job.m_begun};
-  if (job.m_closed) {
-    if (job.m_closed_at == 0) job.m_closed_at = wall;
-    progress.m_closed_at = job.m_closed_at;
-    return progress;
-  }
-  progress.m_closed_occurrences = {job.m_closed_occurrences.begin(),
-                                   job.m_closed_occurrences.end()};
-  for (const auto& [number, occurrence] : job.m_occurrences) {
-    for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
-      const auto& tasks = occurrence.m_steps[step].m_tasks;
-      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        const Task& task = tasks[i];
-        const bool done = task.m_phase == TaskPhase::kDone;
-        const bool placed = task.m_phase == TaskPhase::kPlaced;
-        const bool initial =
-            !done && task.m_failures == 0 && task.m_checkpoint.empty() && task.m_crashes.empty();
-        if (initial) continue;
-        progress.m_tasks.push_back({.m_occurrence = number,
-                                    .m_step = step,
-                                    .m_index = i,
-                                    .m_done = done,
-                                    .m_failures = task.m_failures,
-                                    .m_run = placed ? task.m_run - 1 : task.m_run,
-                                    .m_checkpoint = task.m_checkpoint,
-                                    .m_crashes = task.m_crashes});
-      }
-    }
+                       .m_begun = job.m_begun,
+                       .m_tasks = TasksOf(job, part),
+                       .m_part = part};
+  if (part == 0) {
+    progress.m_closed_occurrences = {job.m_closed_occurrences.begin(),
+                                     job.m_closed_occurrences.end()};
   }
+  FitStates(progress, limits);
   return progress;
 }
 
+/// Adds the record of a closed job and the removals of its parts, which a successor has to see
+/// together.
+bool AddClosed(BatchInProgress& append, Job& job, const WallMillis wall) {
+  if (job.m_closed_at == 0) job.m_closed_at = wall;
+  std::vector<RecordChange> changes{JobProgress{.m_job = job.m_spec.m_id,
+                                                .m_cancelled = job.m_cancelled,
+                                                .m_closed = true,
+                                                .m_phase = job.m_phase,
+                                                .m_closed_at = job.m_closed_at,
+                                                .m_begun = job.m_begun}};
+  for (const auto part : job.m_stored_parts) {
+    changes.emplace_back(RemovedRecord{.m_key = ProgressKey(job.m_spec.m_id, part)});
+  }
+  if (!AddAll(append, std::move(changes))) return false;
+  job.m_stored_parts.clear();
+  job.m_unwritten_parts.clear();
+  append.m_batch.m_recorded_phases.emplace_back(job.m_spec.m_id, job.m_phase);
+  return true;
+}
+
+/// Adds the parts of an open job that have changed. A successor may see the first of these records
+/// only, so part 0 follows those that take over tasks from it, and the parts of a closed occurrence
+/// are removed after part 0 has recorded that it is closed.
+bool AddParts(BatchInProgress& append, Job& job, const RecordLimits& limits) {
+  const std::vector<std::uint32_t> parts(job.m_unwritten_parts.rbegin(),
+                                         job.m_unwritten_parts.rend());
+  for (const auto part : parts) {
+    auto record = PartRecord(job, part, limits);
+    if (part > 0 && record.m_tasks.empty()) continue;
+    if (!Add(append, std::move(record))) return false;
+    if (part > 0) job.m_stored_parts.insert(part);
+    job.m_unwritten_parts.erase(part);
+  }
+  for (const auto part : parts) {
+    if (job.m_unwritten_parts.count(part) == 0) continue;
+    if (job.m_stored_parts.count(part) > 0) {
+      if (!Add(append, RemovedRecord{.m_key = ProgressKey(job.m_spec.m_id, part)})) return false;
+      job.m_stored_parts.erase(part);
+    }
+    job.m_unwritten_parts.erase(part);
+  }
+  return true;
+}
+
+void AddRemovals(BatchInProgress& append, Coordinator& state) {
+  auto& keys = state.m_removed_keys;
+  std::size_t taken = 0;
+  while (taken < keys.size() && Add(append, RemovedRecord{.m_key = keys[taken]})) ++taken;
+  keys.erase(keys.begin(), keys.begin() + static_cast<std::ptrdiff_t>(taken));
+}
+
+void AddSubmissions(BatchInProgress& append, Coordinator& state) {
+  auto& jobs = state.m_unwritten_jobs;
+  while (!jobs.empty()) {
+    const auto id = *jobs.begin();
+    if (const Job* const job = FindJob(state, id)) {
+      if (!Add(append, job->m_spec)) return;
+      append.m_batch.m_accepted.push_back(id);
+    }
+    jobs.erase(jobs.begin());
+  }
+}
+
+void AddProgress(BatchInProgress& append, Coordinator& state, const WallMillis wall) {
+  auto& jobs = state.m_unwritten_progress;
+  while (!jobs.empty() && !append.m_full) {
+    Job* const job = FindJob(state, *jobs.begin());
+    if (job != nullptr) {
+      const bool added = job->m_closed ? AddClosed(append, *job, wall)
+                                       : AddParts(append, *job, state.m_options.m_record_limits);
+      if (!added) return;
+    }
+    jobs.erase(jobs.begin());
+  }
+}
+
 MemberRecord RecordOf(const Agent& agent) {
   return {
       .m_agent = agent.m_id, .m_rpc_address = agent.m_rpc_address, .m_worker = agent.m_worker.m_id};
@@ -62,34 +186,29 @@
 }
 
 WriteBatch TakeWrites(Coordinator& state, const WallMillis wall) {
-  WriteBatch batch;
+  BatchInProgress append{.m_max_bytes = state.m_options.m_record_limits.m_append_bytes};
   // Removals come first, so that the record of a member that was removed and came back remains.
-  for (auto& key : std::exchange(state.m_removed_keys, {})) {
-    batch.m_records.emplace_back(RemovedRecord{.m_key = std::move(key)});
-  }
-  for (const auto& id : std::exchange(state.m_unwritten_jobs, {})) {
-    const Job* const job = FindJob(state, id);
-    if (job == nullptr) continue;
-    batch.m_records.emplace_back(job->m_spec);
-    batch.m_accepted.push_back(id);
-  }
-  for (const auto& id : std::exchange(state.m_unwritten_progress, {})) {
-    Job* const job = FindJob(state, id);
-    if (job == nullptr) continue;
-    batch.m_records.emplace_back(ProgressOf(*job, wall));
-    if (job->m_closed) batch.m_recorded_phases.emplace_back(id, job->m_phase);
-  }
-  for (const auto& id : std::exchange(state.m_unwritten_members, {})) {
-    const auto& agent = state.m_agents.at(id);
-    batch.m_members.push_back({.m_record = RecordOf(agent), .m_request = agent.m_record_request});
-    batch.m_records.emplace_back(batch.m_members.back().m_record);
+  // Submissions come before progress, which is nothing without its submission.
+  AddRemovals(append, state);
+  AddSubmissions(append, state);
+  AddProgress(append, state, wall);
+  auto& members = state.m_unwritten_members;
+  while (!members.empty()) {
+    const auto& agent = state.m_agents.at(*members.begin());
+    const auto record = RecordOf(agent);
+    if (!Add(append, record)) break;
+    append.m_batch.m_members.push_back({.m_record = record, .m_request = agent.m_record_request});
+    members.erase(members.begin());
   }
-  if (std::exchange(state.m_settled_unwritten, false)) {
-    batch.m_records.emplace_back(SettledRecord{.m_epoch = state.m_epoch});
+  if (state.m_settled_unwritten && Add(append, SettledRecord{.m_epoch = state.m_epoch})) {
+    state.m_settled_unwritten = false;
   }
-  if (state.m_unwritten_pairs) {
-    batch.m_records.emplace_back(*std::exchange(state.m_unwritten_pairs, std::nullopt));
+  if (state.m_unwritten_pairs && Add(append, *state.m_unwritten_pairs)) {
+    state.m_unwritten_pairs.reset();
   }
+  // A worker may forget an end only when all records that the end changed are in the store.
+  if (append.m_full) return std::move(append.m_batch);
+  WriteBatch& batch = append.m_batch;
   for (auto& [id, agent] : state.m_agents) {
     const bool has_new =
         agent.m_ends_seen > agent.m_ends_taken || agent.m_crash_seen > agent.m_crash_taken;
@@ -101,7 +220,7 @@
                             .m_number = agent.m_ends_seen,
                             .m_crash = agent.m_crash_seen});
   }
-  return batch;
+  return std::move(append.m_batch);
 }
 
 bool IsStoreSilent(const Coordinator& state, const Time since, const Time now) noexcept {
--- a/packages/core/tests/fleet/simulated_store.cc
+++ b/packages/core/tests/fleet/simulated_store.cc
@@ -10,13 +10,14 @@
   if (const auto* const job = std::get_if<JobSpec>(&change)) {
     store.m_jobs[job->m_id] = *job;
   } else if (const auto* const progress = std::get_if<JobProgress>(&change)) {
-    store.m_progress[progress->m_job] = *progress;
+    store.m_progress[ProgressKey(progress->m_job, progress->m_part)] = *progress;
   } else if (const auto* const member = std::get_if<MemberRecord>(&change)) {
     store.m_members[MemberKey(member->m_agent)] = *member;
   } else if (const auto* const settled = std::get_if<SettledRecord>(&change)) {
     store.m_settled = settled->m_epoch;
   } else if (const auto* const removed = std::get_if<RemovedRecord>(&change)) {
     store.m_members.erase(removed->m_key);
+    store.m_progress.erase(removed->m_key);
   }
 }
 
--- a/packages/core/tests/fleet/simulated_store.h
+++ b/packages/core/tests/fleet/simulated_store.h
@@ -12,7 +12,7 @@
 struct SimulatedStore {
   CoordinatorRecord m_claim;  ///< Newest record of the coordinator; epoch zero: none.
   std::map<JobId, JobSpec> m_jobs;
-  std::map<JobId, JobProgress> m_progress;
+  std::map<std::string, JobProgress> m_progress;  ///< By key.
   std::map<std::string, MemberRecord> m_members;
   Epoch m_settled = 0;
   Epoch m_epoch = 0;  ///< Of the newest accepted append.
--- a/packages/core/tests/fleet/simulation_entries.cc
+++ b/packages/core/tests/fleet/simulation_entries.cc
@@ -10,6 +10,9 @@
 
 using namespace std::chrono_literals;
 
+/// Less than most batches of the histories need.
+constexpr std::size_t kSmallAppendBytes = 1000;
+
 GrantTimes TimesOf(const SimulatedEntry& entry) {
   const auto& options = entry.m_state.m_options;
   return {.m_authority = entry.m_leadership.m_options.m_authority,
@@ -101,6 +104,8 @@
   entry.m_appends = {};
   const auto evacuated = entry.m_state.m_evacuated_domains;
   entry.m_state = {.m_epoch = epoch, .m_rpc_address = entry.m_address};
+  // Every other coordinator cuts what it writes into small appends.
+  if (epoch % 2 == 0) entry.m_state.m_options.m_record_limits.m_append_bytes = kSmallAppendBytes;
   SetEvacuations(entry.m_state, evacuated);
   ToEntry(e, entry.m_process, m_now + m_dice.Between(20ms, 400ms),
           [this, e, epoch, previous](auto& recovering) {
--- /dev/null
+++ b/packages/daemon/scenarios/fleet_large_job_test.cc
@@ -0,0 +1,52 @@
+/// Scenarios of jobs with many tasks: their progress in the store, and their stops.
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <string>
+#include <thread>
+
+#include "fleet_site.h"
+#include "process_site.h"
+
+namespace ebonypin::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kLarge = "00000000000000b1";
+const std::string kOther = "00000000000000c1";
+
+/// Returns a job of `count` small tasks that each take `millis`.
+std::string ManySmallTasks(const int count, const int millis) {
+  return fmt::format(
+      R"({{"Spec":"run {}","Steps":[{{"Count":{},"Cpu":10,"MemMb":1,"EstMs":{},"Checkpointing":true}}]}})",
+      millis, count, millis);
+}
+
+class FleetLargeJobTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetLargeJobTest);
+  CPPUNIT_TEST(AJobWithMuchSavedStateIsDone);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against progress that the store refuses for good: nothing behind it was stored, so no
+  /// job was accepted any more, and none shown as done.
+  void AJobWithMuchSavedStateIsDone() {
+    FleetSite site(2, 2);
+    for (std::size_t i = 0; i < 2; ++i) site.SetWorkerFaults(i, R"({"state_bytes":1200})");
+    const auto path = "/renders/" + kLarge;
+    CPPUNIT_ASSERT_EQUAL(200, site.Call(0, "POST", path, ManySmallTasks(400, 3000)).m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kLarge) == "done"; }));
+    CPPUNIT_ASSERT_EQUAL(200, site.Submit(1, kOther, "run 1").m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(1, kOther) == "done"; }));
+    CPPUNIT_ASSERT_EQUAL(0, site.RefusedAppends());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetLargeJobTest);
+
+}  // namespace
+}  // namespace ebonypin::daemon
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -174,6 +174,7 @@
   tasks @5 :List(TaskProgress);
   begun @6 :Bool;
   closedOccurrences @7 :List(UInt32);
+  part @8 :UInt32;
 }
 
 struct MemberRecord { agent @0 :Text; rpcAddress @1 :Text; worker @2 :Text; }
--- a/packages/wire/src/fleet_convert.cc
+++ b/packages/wire/src/fleet_convert.cc
@@ -410,6 +410,7 @@
   PutNumbers<std::uint32_t>(out.initClosedOccurrences(ListSize(in.m_closed_occurrences)),
                             in.m_closed_occurrences);
   PutList(out.initTasks(ListSize(in.m_tasks)), in.m_tasks);
+  out.setPart(in.m_part);
 }
 
 core::fleet::JobProgress Get(const schema::fleet::JobProgress::Reader in) {
@@ -420,7 +421,8 @@
           .m_closed_at = in.getClosedAt(),
           .m_begun = in.getBegun(),
           .m_closed_occurrences = GetNumbers<std::uint32_t>(in.getClosedOccurrences()),
-          .m_tasks = GetList<core::fleet::TaskProgress>(in.getTasks())};
+          .m_tasks = GetList<core::fleet::TaskProgress>(in.getTasks()),
+          .m_part = in.getPart()};
 }
 
 void Put(schema::fleet::MemberRecord::Builder out, const core::fleet::MemberRecord& in) {
--- a/packages/wire/tests/samples.cc
+++ b/packages/wire/tests/samples.cc
@@ -108,7 +108,8 @@
                        .m_failures = 2,
                        .m_run = 5,
                        .m_checkpoint = "c",
-                       .m_crashes = {3, 4}}}};
+                       .m_crashes = {3, 4}}},
+          .m_part = 9};
 }
 
 std::vector<core::Message> SampleMessages() {
