Step down when the store will never take an append

An append that the store answers with 400 or 413 was taken for one that may be taken later, and repeated for good under its sequence number.

Cause: the adapter made one outcome of 400, 413, 429, 503 and 507.

Change: the first two are an outcome of their own. The coordinator logs E642 with the sizes and the largest record, and steps down; its process writes records and appends of half the size from its next term on. The records cannot be cut into other appends in the same epoch: a former call with the same sequence number, or those open behind it, may be carried out later.

Why this works: the next coordinator begins another epoch, reads what is stored and gets the ends again from the agents, so nothing is lost, and what it writes shrinks until the store takes it.

Evidence: AStoreWithLowerLimitsThanKnownIsServed (records of 40,000 bytes, appends of 70,000, settings that say more; real roles) fails on: the large job is not done within 20 s. It passes now. AnAppendThatTheStoreWillNeverTakeEndsTheLeadership replays the outcome.

--- a/packages/core/include/ebonypin/core/fleet/append_queue.h
+++ b/packages/core/include/ebonypin/core/fleet/append_queue.h
@@ -58,6 +58,7 @@
   kUnknown,
   kOutOfSequence,  ///< The store expects another sequence number.
   kFenced,         ///< Another coordinator writes.
+  kRefused,        ///< Not appended, and a repeat would be refused again.
 };
 
 /// What follows from an outcome.
@@ -67,7 +68,11 @@
   /// the first call, even if it has seen a later epoch since.
   Time m_confirmed;
   bool m_superseded = false;  ///< Another coordinator writes: step down.
-  bool m_failed = false;      ///< The call is to be repeated after the retry delay.
+  /// The store will never take the append, nor those after it: step down. The records cannot be cut
+  /// into other appends in this epoch, because a former call with the same sequence number may have
+  /// been carried out, or may be later.
+  bool m_refused = false;
+  bool m_failed = false;  ///< The call is to be repeated after the retry delay.
 };
 
 /// Returns whether another append may begin.
--- a/packages/core/src/fleet/append_queue.cc
+++ b/packages/core/src/fleet/append_queue.cc
@@ -66,6 +66,9 @@
     case AppendOutcome::kFenced:
       result.m_superseded = true;
       return result;
+    case AppendOutcome::kRefused:
+      result.m_refused = true;
+      return result;
     case AppendOutcome::kNotAppended:
     case AppendOutcome::kUnknown:
       if (queue.m_failing_since == Time{}) queue.m_failing_since = now;
--- a/packages/core/tests/fleet/append_queue_test.cc
+++ b/packages/core/tests/fleet/append_queue_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(AnotherWriterEndsTheLeadership);
   CPPUNIT_TEST(EndsWithoutRecordsWaitForOpenAppends);
   CPPUNIT_TEST(ARepeatConfirmsTheTimeOfItsFirstCall);
+  CPPUNIT_TEST(AnAppendThatTheStoreWillNeverTakeEndsTheLeadership);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,6 +77,20 @@
     CPPUNIT_ASSERT(result.m_confirmed == began);
   }
 
+  /// Guards against an append that is repeated for good while everything behind it waits.
+  void AnAppendThatTheStoreWillNeverTakeEndsTheLeadership() {
+    AppendQueue queue = TwoOpen();
+    const auto result = OnOutcome(queue, kStart + 1s, 1, AppendOutcome::kRefused);
+    CPPUNIT_ASSERT(result.m_refused && !result.m_failed && result.m_written.empty());
+    CPPUNIT_ASSERT(!OnOutcome(queue, kStart + 1s, 2, AppendOutcome::kNotAppended).m_refused);
+    // The next term writes less at a time, and never less than a record without states needs.
+    auto limits = LowerLimits({.m_record_bytes = 262'144, .m_append_bytes = 2'097'152});
+    CPPUNIT_ASSERT(
+        (limits == RecordLimits{.m_record_bytes = 131'072, .m_append_bytes = 1'048'576}));
+    for (int i = 0; i < 10; ++i) limits = LowerLimits(limits);
+    CPPUNIT_ASSERT(limits == LowerLimits(limits) && limits.m_record_bytes >= 32'768);
+  }
+
   /// Guards against callers that wait for two answers while the store is slow: one of the append in
   /// progress, one of their own.
   void AChangeWaitsForAboutOneAnswerOfASlowStore() {
--- a/packages/daemon/include/ebonypin/daemon/events.h
+++ b/packages/daemon/include/ebonypin/daemon/events.h
@@ -109,6 +109,7 @@
 inline const Event kConnectionsClosed = DefineEvent(633, EventLevel::kWarn, "connections closed by limits");
 inline const Event kHoldBegan = DefineEvent(640, EventLevel::kWarn, "calls held for the store");
 inline const Event kHoldEnded = DefineEvent(641, EventLevel::kInfo, "no more calls held");
+inline const Event kAppendRefused = DefineEvent(642, EventLevel::kError, "append refused for good");
 // clang-format on
 
 /// Returns every defined event, ordered by number.
--- a/packages/daemon/scenarios/fleet_large_job_test.cc
+++ b/packages/daemon/scenarios/fleet_large_job_test.cc
@@ -29,6 +29,7 @@
 class FleetLargeJobTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetLargeJobTest);
   CPPUNIT_TEST(AJobWithMuchSavedStateIsDone);
+  CPPUNIT_TEST(AStoreWithLowerLimitsThanKnownIsServed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +45,18 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(1, kOther) == "done"; }));
     CPPUNIT_ASSERT_EQUAL(0, site.RefusedAppends());
   }
+
+  /// Guards against the same with a store that takes less than the settings say.
+  void AStoreWithLowerLimitsThanKnownIsServed() {
+    FleetSite site(1, 2);
+    site.SetStoreFaults(R"({"record_bytes":40000,"append_bytes":70000})");
+    for (std::size_t i = 0; i < 2; ++i) site.SetWorkerFaults(i, R"({"state_bytes":1200})");
+    const auto path = "/renders/" + kLarge;
+    CPPUNIT_ASSERT_EQUAL(200, site.Call(0, "POST", path, ManySmallTasks(400, 3000)).m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kLarge) == "done"; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Submit(0, kOther, "run 1").m_status == 200; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kOther) == "done"; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetLargeJobTest);
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -59,6 +59,8 @@
     case AppendStatus::kFenced:
     case AppendStatus::kEndMismatch:
       return AppendOutcome::kFenced;
+    case AppendStatus::kRefused:
+      return AppendOutcome::kRefused;
   }
   return AppendOutcome::kUnknown;
 }
@@ -117,6 +119,7 @@
   const bool was_failing = m_appends.m_failing_since != core::Time{};
   const auto result = OnOutcome(m_appends, BootNow(), sequence, OutcomeOf(reply.m_status));
   if (result.m_superseded) return BecomeFollower("append failed: " + reply.m_reason);
+  if (result.m_refused) return OnAppendRefused(sequence, reply.m_reason);
   if (result.m_failed) {
     if (!was_failing) {
       LogEvent(kLogUnavailable, {{"topic", m_options.m_jobs_topic}, {"reason", reply.m_reason}});
@@ -137,6 +140,29 @@
   ScheduleCycle();
 }
 
+void CoordinatorService::OnAppendRefused(const std::uint64_t sequence, const std::string& reason) {
+  std::size_t bytes = 0;
+  platform::KeyedRecord largest;
+  for (const auto& open : m_appends.m_open) {
+    if (open.m_sequence != sequence) continue;
+    for (const auto& change : open.m_batch.m_records) {
+      auto record = ToRecord(change);
+      bytes += record.m_key.size() + record.m_value.size();
+      if (record.m_value.size() >= largest.m_value.size()) largest = std::move(record);
+    }
+  }
+  auto& limits = m_record_limits;
+  limits = core::fleet::LowerLimits(limits);
+  LogEvent(kAppendRefused, {{"epoch", m_leadership.m_epoch},
+                            {"reason", reason},
+                            {"bytes", bytes},
+                            {"largest_key", largest.m_key},
+                            {"largest_bytes", largest.m_value.size()},
+                            {"next_record_limit", limits.m_record_bytes},
+                            {"next_append_limit", limits.m_append_bytes}});
+  BecomeFollower("the store refuses an append for good: " + reason);
+}
+
 void CoordinatorService::ScheduleGiveUp() {
   m_events->At(Now() + m_state.m_options.m_append_patience + 1ms,
                [this, epoch = m_leadership.m_epoch] {
--- a/packages/daemon/src/fleet/coordinator_leadership.cc
+++ b/packages/daemon/src/fleet/coordinator_leadership.cc
@@ -214,6 +214,7 @@
           m_state = core::fleet::Coordinator{.m_options = m_options.m_coordinator,
                                              .m_epoch = m_leadership.m_epoch,
                                              .m_rpc_address = m_options.m_rpc_address};
+          m_state.m_options.m_record_limits = m_record_limits;
           core::fleet::SetEvacuations(m_state, m_evacuations.m_domains);
           Recover({}, previous);
         });
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -40,7 +40,8 @@
       m_advice(advice),
       m_machines(machines),
       m_options(std::move(options)),
-      m_leadership{.m_options = m_options.m_leadership} {}
+      m_leadership{.m_options = m_options.m_leadership},
+      m_record_limits(m_options.m_coordinator.m_record_limits) {}
 
 void CoordinatorService::Start() {
   m_membership_thread.Post([this] { Join(); });
--- a/packages/daemon/src/fleet/coordinator_service.h
+++ b/packages/daemon/src/fleet/coordinator_service.h
@@ -77,6 +77,8 @@
   [[nodiscard]] const std::map<core::fleet::WaitCause, std::uint64_t>& Waits() const noexcept {
     return m_waits;
   }
+  /// Returns the sizes that the store takes, as far as this process knows.
+  [[nodiscard]] const core::fleet::RecordLimits& Limits() const noexcept { return m_record_limits; }
   [[nodiscard]] const core::fleet::HeldCalls& Held() const noexcept { return m_held; }
 
   /// Serves a call if this entry is the coordinator, and answers kNotCoordinator otherwise. `done`
@@ -211,6 +213,9 @@
   void Flush();
   void SendAppend(const core::fleet::OpenAppend& append);
   void OnAppended(std::uint64_t sequence, const platform::AppendReply& reply);
+  /// Steps down after an append that the store will never take. The next term, of this process or
+  /// of another, reads what is stored and writes what is missing in smaller records.
+  void OnAppendRefused(std::uint64_t sequence, const std::string& reason);
   [[nodiscard]] bool IsStoreSilent(core::Time now) const noexcept;
   [[nodiscard]] core::fleet::JobCallReply StoreSilentReply() const;
   /// Arranges for GiveUpWaiters to be called when a call to the store that begins now is overdue.
@@ -253,6 +258,7 @@
   std::map<core::AgentId, core::Time> m_next_orders;  ///< Earliest retry of a failed orders call.
   core::Time m_confirmation_due;  ///< Of the timer for held answers; Time{}: none.
   core::fleet::AppendQueue m_appends;
+  core::fleet::RecordLimits m_record_limits;  ///< Of the next term; see OnAppendRefused.
   core::fleet::Confirmations m_confirmations;
 };
 
--- a/packages/platform/include/ebonypin/platform/keyed_store.h
+++ b/packages/platform/include/ebonypin/platform/keyed_store.h
@@ -44,6 +44,7 @@
   kFenced,         ///< The store has seen a larger epoch.
   kOutOfSequence,  ///< The store expects another sequence number.
   kEndMismatch,    ///< The topic does not end at the expected offset.
+  kRefused,        ///< Not appended, and the same append will never be: it is too large or invalid.
 };
 
 struct AppendReply {
