Refuse a submission at once whose record the store does not take

What callers saw: a job that no record of the store holds was accepted into memory; its append would be refused whenever it was sent, its caller got no answer before its deadline, and nothing behind it was stored. The largest job of the default body limit (256 KiB) fits with a margin of about 1 KB, which nothing in the code ensured, and MaxBodyBytes of the configuration may be larger.

Change: an entry answers such a submission with 413 before it passes it on. The coordinator refuses it too if it knows lower limits than that entry. An upper bound of the size decides in most cases; if it does not fit, the exact size of the encoding does, so that no job is refused that can be stored.

--- a/packages/config/include/ebonypin/config/settings.h
+++ b/packages/config/include/ebonypin/config/settings.h
@@ -42,7 +42,9 @@
   std::string m_store_url;  ///< Base URL of the platform's store.
   /// Shortest time-to-live that the store accepts for a group membership.
   core::Duration m_store_shortest_membership = std::chrono::seconds{1};
-  std::string m_advice_url;    ///< Base URL of the advice service; empty: none.
+  std::uint32_t m_store_record_bytes = 262'144;    ///< Largest record, with its key.
+  std::uint32_t m_store_append_bytes = 2'097'152;  ///< Largest sum of the records of an append.
+  std::string m_advice_url;                        ///< Base URL of the advice service; empty: none.
   std::string m_machines_url;  ///< Base URL of the list of machines; empty: none.
 
   // [calls], fleet entries only
--- a/packages/config/src/setting_keys.cc
+++ b/packages/config/src/setting_keys.cc
@@ -232,6 +232,13 @@
       Key("store", "shortest_membership",
           DurationBetween(&S::m_store_shortest_membership, 1ms, 1min), {.m_default = "1s"},
           "Shortest time-to-live that the store accepts for a group membership."),
+      Key("store", "record_bytes", CountBetween(&S::m_store_record_bytes, 4096, 1'073'741'824),
+          {.m_default = "262144"},
+          "Largest record that the store takes, in bytes with its key. Records of 512 KiB are used "
+          "at most. A submission whose record is larger gets 413."),
+      Key("store", "append_bytes", CountBetween(&S::m_store_append_bytes, 4096, 1'073'741'824),
+          {.m_default = "2097152"},
+          "Largest sum of the records in one append that the store takes, in bytes."),
       Key("advice", "url", Url(&S::m_advice_url), {.m_example = "http://127.0.0.1:7501"},
           "Base URL of the advice service for workers; without it, queues that need advice wait."),
       Key("machines", "url", Url(&S::m_machines_url), {.m_example = "http://127.0.0.1:7502"},
--- a/packages/daemon/scenarios/fleet_large_job_test.cc
+++ b/packages/daemon/scenarios/fleet_large_job_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(FleetLargeJobTest);
   CPPUNIT_TEST(AJobWithMuchSavedStateIsDone);
   CPPUNIT_TEST(AStoreWithLowerLimitsThanKnownIsServed);
+  CPPUNIT_TEST(AJobThatNoRecordHoldsIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,25 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return site.Submit(0, kOther, "run 1").m_status == 200; }));
     CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kOther) == "done"; }));
   }
+
+  /// Guards against a submission that is accepted and that the store then refuses: its caller waits
+  /// for the deadline, and everything behind it waits for good.
+  void AJobThatNoRecordHoldsIsRefusedAtOnce() {
+    const auto folder =
+        std::filesystem::temp_directory_path() / fmt::format("ebonypin-large-{}", ::getpid());
+    std::filesystem::create_directories(folder);
+    {
+      ProcessSite site(1, 1, folder.string(), "record_bytes = 4096\n");
+      const auto submit = [&](const std::string& id, const std::size_t payload) {
+        return site.Submit(0, id, "run 1 " + std::string(payload, 'p'), 1);
+      };
+      CPPUNIT_ASSERT_EQUAL(413, submit(kLarge, 3980));
+      CPPUNIT_ASSERT_EQUAL(std::string{}, site.StateOf(0, kLarge));
+      CPPUNIT_ASSERT_EQUAL(200, submit(kOther, 3000));
+      CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(0, kOther) == "done"; }));
+    }
+    std::filesystem::remove_all(folder);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetLargeJobTest);
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -26,6 +26,9 @@
 constexpr auto kOrdersDeadline = 600ms;
 constexpr auto kOrdersRetryDelay = 120ms;
 constexpr std::size_t kMaxOrdersPerCall = 32;
+/// Retry-After for a job that another entry would have refused for good: this entry knows lower
+/// limits of the store than that one.
+constexpr auto kTooLargeRetryAfter = 5s;
 
 }  // namespace
 
@@ -81,6 +84,13 @@
     ++m_state.m_counters.m_refused;
     return waiter.m_done(StoreSilentReply());
   }
+  if (is_new && call.m_kind == JobCallKind::kSubmit && !IsStorable(call.m_job, m_record_limits)) {
+    ++m_state.m_counters.m_refused;
+    return waiter.m_done({.m_status = JobCallStatus::kRefused,
+                          .m_retry_after = kTooLargeRetryAfter,
+                          .m_epoch = m_state.m_epoch,
+                          .m_reason = "the job is larger than a record of the store"});
+  }
   auto reply = OnCall(m_state, now, call);
   ScheduleCycle();
   if (reply) {
--- a/packages/daemon/src/fleet/fleet_entry_role.cc
+++ b/packages/daemon/src/fleet/fleet_entry_role.cc
@@ -82,6 +82,14 @@
   return JobApiStatus::kUnknown;
 }
 
+/// Returns the limits of the store. Larger records than a message may be could not be decoded.
+core::fleet::RecordLimits StoreLimits(const config::Settings& settings) noexcept {
+  const std::size_t record = settings.m_store_record_bytes;
+  const std::size_t append = settings.m_store_append_bytes;
+  return {.m_record_bytes = std::min(record, wire::kMaxMessageBytes / 2),
+          .m_append_bytes = std::max(append, record)};
+}
+
 /// Returns the answer of an entry that has stopped. Status 503 would tell the caller of a
 /// submission that the job never runs, although an earlier call for it may have been accepted.
 JobApiResponse StoppedAnswer(const JobApiMethod method) {
@@ -180,6 +188,7 @@
                                       .m_jobs_topic = m_platform.m_jobs_topic,
                                       .m_coordinator_topic = m_platform.m_coordinator_topic,
                                       .m_hold = m_settings.m_calls_hold};
+    options.m_coordinator.m_record_limits = StoreLimits(m_settings);
     auto& ttl = options.m_leadership.m_ttl;
     ttl = std::max(ttl, m_settings.m_store_shortest_membership);
     m_coordinator = std::make_unique<CoordinatorService>(m_events, *m_store, *m_rpc, m_advice.get(),
@@ -421,6 +430,11 @@
       }
       const auto error = call.m_error.empty() ? CheckJob(job.m_job) : call.m_error;
       if (!error.empty()) return answer({.m_status = JobApiStatus::kInvalid, .m_reason = error});
+      if (!IsStorable(job.m_job, m_coordinator->Limits())) {
+        return answer({.m_status = JobApiStatus::kTooLarge,
+                       .m_reason = "the job is larger than a record of the store; use fewer steps "
+                                   "or shorter names"});
+      }
     } else {
       job.m_kind =
           call.m_method == JobApiMethod::kCancel ? JobCallKind::kCancel : JobCallKind::kState;
--- a/packages/daemon/src/fleet/fleet_parts.cc
+++ b/packages/daemon/src/fleet/fleet_parts.cc
@@ -46,6 +46,11 @@
   return "unknown";
 }
 
+bool IsStorable(const core::fleet::JobSpec& job, const core::fleet::RecordLimits& limits) {
+  return core::fleet::FitsRecord(
+      job, limits, [](const core::fleet::JobSpec& spec) { return wire::Encode(spec).size(); });
+}
+
 void FleetMetrics::RecordCall(const JobApiStatus status, const core::Duration took) {
   const std::lock_guard lock(m_mutex);
   ++m_calls[std::string{FrontStatusName(status)}];
--- a/packages/daemon/src/fleet/fleet_parts.h
+++ b/packages/daemon/src/fleet/fleet_parts.h
@@ -11,6 +11,7 @@
 
 #include "ebonypin/config/settings.h"
 #include "ebonypin/core/fleet/held_calls.h"
+#include "ebonypin/core/fleet/record_size.h"
 #include "ebonypin/core/fleet/records.h"
 #include "ebonypin/daemon/metrics.h"
 #include "ebonypin/http/server.h"
@@ -20,6 +21,10 @@
 
 namespace ebonypin::daemon {
 
+/// Returns whether the store takes the record of the submission.
+[[nodiscard]] bool IsStorable(const core::fleet::JobSpec& job,
+                              const core::fleet::RecordLimits& limits);
+
 /// Returns the name of a task in logs, "JOB.OCCURRENCE.STEP.INDEX".
 [[nodiscard]] std::string TaskText(const core::fleet::TaskRef& ref);
 
