Keep the record of image pairs within the limit of the store

The interference model is one record for all pairs of images, with the names that callers give their images.

The record now holds the newest pairs that fit. A pair that is left out is learned again after the loss of all processes, as before it was known.

TheNewestPairsAreKept (3,000 pairs) fails without the bound.

--- a/packages/core/include/ebonypin/core/fleet/image_pairs.h
+++ b/packages/core/include/ebonypin/core/fleet/image_pairs.h
@@ -112,7 +112,7 @@
 [[nodiscard]] ImagePair Describe(const ImagePairs& pairs, const ImageName& serving,
                                  const ImageName& filling, Time now);
 
-/// Returns the pairs that were updated recently, and removes the others.
+/// Returns the pairs that were updated recently, the newest first, and removes the others.
 [[nodiscard]] std::vector<ImagePair> TakeRecent(ImagePairs& pairs, Time now);
 
 /// Takes over estimates of another process or of an earlier epoch.
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -198,6 +198,7 @@
     state.m_pairs_changed = false;
     state.m_pairs_written = now;
     state.m_unwritten_pairs = {.m_pairs = TakeRecent(state.m_pairs, now)};
+    FitPairs(*state.m_unwritten_pairs, state.m_options.m_record_limits);
   }
 }
 
--- a/packages/core/src/fleet/image_pairs.cc
+++ b/packages/core/src/fleet/image_pairs.cc
@@ -141,10 +141,17 @@
 std::vector<ImagePair> TakeRecent(ImagePairs& pairs, const Time now) {
   std::erase_if(pairs.m_pairs,
                 [now](const auto& pair) { return now - pair.second.m_learned > kForgetAfter; });
+  using Entry = decltype(pairs.m_pairs)::value_type;
+  std::vector<const Entry*> entries;
+  entries.reserve(pairs.m_pairs.size());
+  for (const auto& entry : pairs.m_pairs) entries.push_back(&entry);
+  std::stable_sort(entries.begin(), entries.end(), [](const Entry* a, const Entry* b) {
+    return a->second.m_learned > b->second.m_learned;
+  });
   std::vector<ImagePair> recent;
-  recent.reserve(pairs.m_pairs.size());
-  for (const auto& [images, pair] : pairs.m_pairs) {
-    recent.push_back(Describe(pairs, images.first, images.second, now));
+  recent.reserve(entries.size());
+  for (const auto* const entry : entries) {
+    recent.push_back(Describe(pairs, entry->first.first, entry->first.second, now));
   }
   return recent;
 }
--- a/packages/core/tests/fleet/large_job_test.cc
+++ b/packages/core/tests/fleet/large_job_test.cc
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(AJobIsForgottenBeforeItsProgress);
   CPPUNIT_TEST(AnAcknowledgedEndIsNeverLost);
   CPPUNIT_TEST(SubmissionsThatTheStoreRefusesAreFound);
+  CPPUNIT_TEST(TheNewestPairsAreKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -423,6 +424,23 @@
     CPPUNIT_ASSERT(exact(limits.m_record_bytes - 1 - key));
     CPPUNIT_ASSERT(!exact(limits.m_record_bytes - key));
   }
+
+  /// Guards against a model of many images that is larger than a record.
+  void TheNewestPairsAreKept() {
+    Site site;
+    for (int i = 0; i < 3000; ++i) {
+      const ImageName image{"image-" + std::to_string(i)};
+      ObserveLatency(site.m_state.m_pairs, image, 4.0);
+      site.m_state.m_pairs.m_pairs[{image, {"press"}}] = {
+          .m_growth = 1.0, .m_learned = site.m_now - std::chrono::milliseconds{i}};
+    }
+    site.m_state.m_pairs_changed = true;
+    Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
+    const auto& record = *site.m_state.m_unwritten_pairs;
+    CPPUNIT_ASSERT(MaxRecordBytes(record) <= RecordLimits{}.m_record_bytes);
+    CPPUNIT_ASSERT(!record.m_pairs.empty() && record.m_pairs.size() < 3000);
+    CPPUNIT_ASSERT_EQUAL(std::string{"image-0"}, record.m_pairs[0].m_serving.m_value);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LargeJobTest);
