Keep reports and orders within the size of a message

What callers saw: with 1,000 runs at a worker and saved states of 1,200 characters, the report of its agent exceeds the 1 MiB of a message, so no coordinator can read it: the agent gets no grant, and all its runs lapse. Orders were limited in number only; their texts are up to a payload of 4,000 bytes, a saved state of any length and the name of an image each.

Change: a report carries 384 KiB of saved states. Ends come first, and if they do not all fit the report says that more are to come, as it does for a worker that lists its ends in parts; states of runs that do not fit come first in the next report. One call carries orders with 512 KiB of texts. A saved state of more than 10 KiB counts as not saved: records and messages hold several of them.

--- a/packages/core/include/ebonypin/core/fleet/coordinator.h
+++ b/packages/core/include/ebonypin/core/fleet/coordinator.h
@@ -50,6 +50,11 @@
   /// Time for which the store may be asked without success before calls that depend on it are
   /// given up. Longer than an append takes in a store that is slow but works.
   Duration m_append_patience = std::chrono::milliseconds{700};
+  /// Limits on the orders of one message and on the bytes of their texts. A message is limited to
+  /// 1 MiB, and an order, with a payload, a saved state and the name of an image, takes less than
+  /// half of it.
+  std::size_t m_max_orders_sent = 32;
+  std::size_t m_max_order_bytes = 524'288;
   /// Delay before a task is placed again after its run was refused or lost.
   Duration m_refusal_delay = std::chrono::milliseconds{150};
   /// Limit on unconfirmed orders to one agent; further starts wait.
@@ -419,6 +424,9 @@
 /// Handles an agent's report. The grant in the reply is zero when the agent must not extend leases.
 [[nodiscard]] AgentReportReply OnReport(Coordinator& state, Time now, const AgentReport& report);
 
+/// Returns the oldest unconfirmed orders, as many as one message takes.
+[[nodiscard]] std::vector<Order> NextOrders(const Coordinator& state, const Agent& agent);
+
 /// Handles the confirmation of the orders up to `last_order` of `session`.
 void OnOrdersTaken(Coordinator& state, const AgentId& agent, std::uint64_t session,
                    std::uint64_t last_order);
--- a/packages/core/include/ebonypin/core/fleet/messages.h
+++ b/packages/core/include/ebonypin/core/fleet/messages.h
@@ -132,6 +132,9 @@
   friend bool operator==(const Order&, const Order&) = default;
 };
 
+/// Returns the number of bytes in the texts of the order, to which fields of fixed size are added.
+[[nodiscard]] std::size_t TextBytes(const Order& order) noexcept;
+
 /// Sent by the coordinator to an agent; without orders it announces the coordinator.
 struct AgentOrders {
   Epoch m_epoch = 0;
--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -67,6 +67,9 @@
   /// Limit on the crashed runs that are kept for the report: several crashes of a full worker. The
   /// oldest are dropped, because a coordinator of an earlier version records none.
   std::size_t m_max_crashed_runs = 256;
+  /// Limit on the saved states in one report. A message is limited to 1 MiB, and a report lists all
+  /// runs of the worker besides.
+  std::size_t m_max_report_states = 393'216;
   PacingOptions m_pacing;
 };
 
@@ -162,8 +165,11 @@
   std::uint64_t m_session = 0;
   std::uint64_t m_former_session = 0;  ///< Ended by a change of the worker; zero: none.
   std::uint64_t m_last_order = 0;
-  bool m_session_granted = false;  ///< The coordinator gave a grant in this session.
-  std::uint64_t m_reports = 0;     ///< Number of reports made by this process.
+  bool m_session_granted = false;      ///< The coordinator gave a grant in this session.
+  std::uint64_t m_reports = 0;         ///< Number of reports made by this process.
+  bool m_ends_left_out = false;        ///< The newest report does not name all ends.
+  TaskRef m_next_state;                ///< Run whose saved state the next report includes first.
+  std::uint64_t m_states_ignored = 0;  ///< Saved states that exceeded kMaxCheckpointBytes.
   Time m_granted_until;
 
   WorkerInfo m_worker;              ///< Empty id: no heartbeat yet.
--- a/packages/core/src/fleet/coordinator_agents.cc
+++ b/packages/core/src/fleet/coordinator_agents.cc
@@ -342,6 +342,19 @@
   return reply;
 }
 
+std::vector<Order> NextOrders(const Coordinator& state, const Agent& agent) {
+  std::vector<Order> orders;
+  std::size_t bytes = 0;
+  for (const auto& order : agent.m_orders) {
+    bytes += TextBytes(order);
+    const bool full = orders.size() >= state.m_options.m_max_orders_sent ||
+                      bytes > state.m_options.m_max_order_bytes;
+    if (full && !orders.empty()) break;
+    orders.push_back(order);
+  }
+  return orders;
+}
+
 void OnOrdersTaken(Coordinator& state, const AgentId& agent, const std::uint64_t session,
                    const std::uint64_t last_order) {
   const auto found = state.m_agents.find(agent);
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -1,6 +1,7 @@
 #include "ebonypin/core/fleet/worker_agent.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ebonypin::core::fleet {
@@ -260,6 +261,13 @@
   return local;
 }
 
+/// Returns whether a saved state may be kept, and counts one that may not.
+bool IsUsableState(WorkerAgent& agent, const std::string& state) noexcept {
+  if (state.size() <= kMaxCheckpointBytes) return true;
+  ++agent.m_states_ignored;
+  return false;
+}
+
 /// Handles the worker's list of runs, which was made after `sent`.
 void TakeRuns(WorkerAgent& agent, const Time sent, const Time now, const HoldAnswer& answer) {
   std::map<TaskRef, RunNumber> listed;
@@ -280,7 +288,7 @@
     if (local.m_stage == RunStage::kRunning) local.m_confirmed = std::max(local.m_confirmed, sent);
     local.m_percent = run.m_percent;
     local.m_figure = run.m_figure;
-    local.m_checkpoint = run.m_checkpoint;
+    if (IsUsableState(agent, run.m_checkpoint)) local.m_checkpoint = run.m_checkpoint;
   }
   // A run that is not listed may have ended; its end is listed once earlier ones are acknowledged.
   const bool all_ends = answer.m_ends_complete;
@@ -311,6 +319,7 @@
                                    [&](const auto& e) { return e.m_number == end.m_number; });
     if (known || end.m_number <= agent.m_recorded_end) continue;
     agent.m_ends.push_back(end);
+    if (!IsUsableState(agent, end.m_checkpoint)) agent.m_ends.back().m_checkpoint.clear();
     agent.m_report_due = true;
     const auto run = agent.m_runs.find(end.m_task);
     if (run != agent.m_runs.end() && run->second.m_order.m_run <= end.m_run) {
@@ -412,6 +421,47 @@
   return std::nullopt;
 }
 
+/// Adds the ends to the report, in their order, as many as its states leave room for. Returns the
+/// bytes of their states.
+std::size_t AddEnds(WorkerAgent& agent, AgentReport& report) {
+  std::size_t bytes = 0;
+  for (const auto& end : agent.m_ends) {
+    bytes += end.m_checkpoint.size();
+    if (bytes > agent.m_options.m_max_report_states) break;
+    report.m_ends.push_back(end);
+  }
+  agent.m_ends_left_out = report.m_ends.size() < agent.m_ends.size();
+  // Without all ends, a run that is not listed may have ended.
+  if (agent.m_ends_left_out) report.m_ends_complete = false;
+  return bytes;
+}
+
+/// Adds the runs to the report. States for which there is no room come first in the next report;
+/// until then the coordinator keeps those that it knows.
+void AddRuns(WorkerAgent& agent, AgentReport& report, std::size_t bytes) {
+  const auto limit = agent.m_options.m_max_report_states;
+  for (const auto& [task, run] : agent.m_runs) {
+    report.m_runs.push_back({.m_task = task,
+                             .m_run = run.m_order.m_run,
+                             .m_percent = run.m_percent,
+                             .m_figure = run.m_figure,
+                             .m_order_known = run.m_order_known});
+  }
+  const auto count = report.m_runs.size();
+  const auto first =
+      std::distance(agent.m_runs.begin(), agent.m_runs.lower_bound(agent.m_next_state));
+  for (std::size_t i = 0; i < count; ++i) {
+    auto& listed = report.m_runs[(static_cast<std::size_t>(first) + i) % count];
+    const auto& state = agent.m_runs.at(listed.m_task).m_checkpoint;
+    bytes += state.size();
+    if (bytes > limit) {
+      agent.m_next_state = listed.m_task;
+      return;
+    }
+    listed.m_checkpoint = state;
+  }
+}
+
 }  // namespace
 
 void Begin(WorkerAgent& agent, const Time now) { ExpectLongestLease(agent, now); }
@@ -500,17 +550,10 @@
                      .m_last_order = agent.m_last_order,
                      .m_runs_known = agent.m_runs_known,
                      .m_worker = agent.m_worker,
-                     .m_ends = agent.m_ends,
                      .m_crashed = agent.m_answered ? agent.m_crashed : std::vector<CrashedRun>{},
                      .m_ends_complete = agent.m_ends_complete};
-  for (const auto& [task, run] : agent.m_runs) {
-    report.m_runs.push_back({.m_task = task,
-                             .m_run = run.m_order.m_run,
-                             .m_percent = run.m_percent,
-                             .m_checkpoint = run.m_checkpoint,
-                             .m_figure = run.m_figure,
-                             .m_order_known = run.m_order_known});
-  }
+  const auto bytes = AddEnds(agent, report);
+  AddRuns(agent, report, bytes);
   return report;
 }
 
@@ -541,8 +584,9 @@
                 [&](const CrashedRun& run) { return run.m_born <= reply.m_recorded_crash; });
   if (reply.m_worker_born != agent.m_worker.m_born) return;
   agent.m_recorded_end = std::max(agent.m_recorded_end, reply.m_recorded_end);
-  std::erase_if(agent.m_ends,
-                [&](const RunEnded& end) { return end.m_number <= agent.m_recorded_end; });
+  const auto erased = std::erase_if(
+      agent.m_ends, [&](const RunEnded& end) { return end.m_number <= agent.m_recorded_end; });
+  if (erased > 0 && agent.m_ends_left_out) agent.m_report_due = true;
 }
 
 std::optional<HoldCall> NextHold(WorkerAgent& agent, const Time now) {
--- a/packages/daemon/src/fleet/coordinator_service.cc
+++ b/packages/daemon/src/fleet/coordinator_service.cc
@@ -25,7 +25,6 @@
 constexpr auto kTickInterval = 250ms;
 constexpr auto kOrdersDeadline = 600ms;
 constexpr auto kOrdersRetryDelay = 120ms;
-constexpr std::size_t kMaxOrdersPerCall = 32;
 /// Retry-After for a job that another entry would have refused for good: this entry knows lower
 /// limits of the store than that one.
 constexpr auto kTooLargeRetryAfter = 5s;
@@ -168,11 +167,8 @@
   if (next_orders != m_next_orders.end() && now < next_orders->second) return;
   core::fleet::AgentOrders orders{.m_epoch = m_leadership.m_epoch,
                                   .m_coordinator = m_options.m_rpc_address,
-                                  .m_session = agent.m_session};
-  for (const auto& order : agent.m_orders) {
-    if (orders.m_orders.size() == kMaxOrdersPerCall) break;
-    orders.m_orders.push_back(order);
-  }
+                                  .m_session = agent.m_session,
+                                  .m_orders = NextOrders(m_state, agent)};
   m_orders_in_flight.insert(agent.m_id);
   m_rpc.Call(agent.m_rpc_address, orders, kOrdersDeadline,
              [this, id = agent.m_id, session = agent.m_session,
