Stop up to 40 runs of a worker at a time, apart from starts and holds

Cause: an agent had eight calls about runs open at a time, which is 23 stops a second. Calls about runs and holds shared 24 connections, so more stops alone would have displaced the holds, which renew the leases of all runs of the worker.

Change: up to 40 stops are open, 8 at a worker that does not answer, and those that have waited longest go first. The metric unstopped_runs counts the runs that are ordered to stop.

Evidence: ManySlowStopsEndInTimeAndDisturbNoOtherJob (300 tasks at two workers, stops of 390 ms, another job beside; real roles) fails on: the stops last longer than 3.4 s. It passes now, and no run of the other job is started again.

--- a/packages/core/include/ebonypin/core/fleet/worker_agent.h
+++ b/packages/core/include/ebonypin/core/fleet/worker_agent.h
@@ -48,7 +48,13 @@
   /// Ends are acknowledged only within this time after the sending of a hold call that the worker
   /// has answered. Shorter than the restart of a worker.
   Duration m_max_answer_age = std::chrono::milliseconds{120};
-  /// Limit on start, stop and pace calls in flight; the worker accepts 64 connections.
+  /// Limit on stops in flight. Runs of cancelled jobs must have ended 3.4 s after the cancel, and a
+  /// stop may take 0.4 s: with 40 at a time, 320 runs of a worker can be stopped in that time.
+  std::size_t m_max_stops = 40;
+  /// The same limit while the worker does not answer. Stops then wait for their deadlines, and more
+  /// of them would only use processor time.
+  std::size_t m_max_stops_unanswered = 8;
+  /// Limit on starts and pace calls in flight, which do not wait behind stops.
   std::size_t m_max_calls = 8;
   /// Interval at which a pace call is repeated while the share is, or may be, reduced.
   Duration m_pace_repeat = std::chrono::seconds{2};
@@ -230,6 +236,9 @@
 /// Handles the answer to a hold call that was sent at `sent`; nullopt: the call failed.
 void OnHold(WorkerAgent& agent, Time sent, Time now, const std::optional<HoldAnswer>& answer);
 
+/// Returns the number of runs that are ordered to stop and whose end is not listed.
+[[nodiscard]] std::size_t CountStopping(const WorkerAgent& agent) noexcept;
+
 /// Returns the calls to make now and marks them as in flight.
 [[nodiscard]] std::vector<RunCall> NextCalls(WorkerAgent& agent, Time now);
 
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace ebonypin::core::fleet {
@@ -394,7 +395,7 @@
   run.m_next_call = now + agent.m_options.m_call_retry;
 }
 
-/// Returns the call about `run` that is due at `now`, if any.
+/// Returns the start or pace call about `run` that is due at `now`, if any.
 std::optional<RunCall> MakeCall(WorkerAgent& agent, const Time now, LocalRun& run) {
   RunCall call{.m_order = run.m_order};
   switch (run.m_stage) {
@@ -405,8 +406,7 @@
       if (run.m_started == Time{}) run.m_started = now;
       return call;
     case RunStage::kStopping:
-      call.m_kind = RunCallKind::kStop;
-      return call;
+      return std::nullopt;  // See AddStops.
     case RunStage::kRunning: {
       const auto wanted = run.m_allowed;
       const bool unsure = wanted < 100 || run.m_paced < 100 || now < run.m_pace_uncertain_until;
@@ -421,6 +421,69 @@
   return std::nullopt;
 }
 
+/// Number of calls that may begin now.
+struct CallRoom {
+  std::size_t m_stops = 0;
+  std::size_t m_others = 0;  ///< Starts and pace calls.
+};
+
+CallRoom RoomForCalls(const WorkerAgent& agent) {
+  const auto& options = agent.m_options;
+  const auto is_in_flight = [](const auto& entry) { return entry.second.m_in_flight; };
+  std::size_t stops = static_cast<std::size_t>(
+      std::count_if(agent.m_unheld_stops.begin(), agent.m_unheld_stops.end(), is_in_flight));
+  std::size_t others = 0;
+  for (const auto& [task, run] : agent.m_runs) {
+    if (!run.m_in_flight) continue;
+    // A start in flight whose run is ordered to stop counts as a stop.
+    ++(run.m_stage == RunStage::kStopping ? stops : others);
+  }
+  const auto max_stops =
+      agent.m_worker.m_reachable ? options.m_max_stops : options.m_max_stops_unanswered;
+  const auto left = [](const std::size_t limit, const std::size_t used) {
+    return limit - std::min(limit, used);
+  };
+  const auto total = left(options.m_max_stops + options.m_max_calls, stops + others);
+  CallRoom room{.m_stops = std::min(left(max_stops, stops), total)};
+  room.m_others = std::min(left(options.m_max_calls, others), total - room.m_stops);
+  return room;
+}
+
+/// Adds the stops that are due, those that have waited longest first.
+void AddStops(WorkerAgent& agent, const Time now, const std::size_t room,
+              std::vector<RunCall>& calls) {
+  if (room == 0) return;
+  struct DueStop {
+    Time m_due;
+    const TaskRef* m_task = nullptr;
+    RunNumber m_run = 0;
+    bool* m_in_flight = nullptr;
+  };
+  std::vector<DueStop> due;
+  const auto add = [&](const Time since, const TaskRef& task, const RunNumber run,
+                       bool& in_flight) {
+    if (in_flight || now < since) return;
+    due.push_back({.m_due = since, .m_task = &task, .m_run = run, .m_in_flight = &in_flight});
+  };
+  for (auto& [task, stop] : agent.m_unheld_stops) {
+    add(stop.m_next_call, task, stop.m_run, stop.m_in_flight);
+  }
+  for (auto& [task, run] : agent.m_runs) {
+    if (run.m_stage != RunStage::kStopping) continue;
+    add(run.m_next_call, task, run.m_order.m_run, run.m_in_flight);
+  }
+  const auto count = std::min(room, due.size());
+  std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(count), due.end(),
+                    [](const DueStop& a, const DueStop& b) {
+                      return std::tie(a.m_due, *a.m_task) < std::tie(b.m_due, *b.m_task);
+                    });
+  for (std::size_t i = 0; i < count; ++i) {
+    *due[i].m_in_flight = true;
+    calls.push_back({.m_kind = RunCallKind::kStop,
+                     .m_order = {.m_task = *due[i].m_task, .m_run = due[i].m_run}});
+  }
+}
+
 /// Adds the ends to the report, in their order, as many as its states leave room for. Returns the
 /// bytes of their states.
 std::size_t AddEnds(WorkerAgent& agent, AgentReport& report) {
@@ -659,32 +722,27 @@
   agent.m_next_hold = agent.m_ends.empty() ? now : now + agent.m_options.m_hold_pause;
 }
 
+std::size_t CountStopping(const WorkerAgent& agent) noexcept {
+  const auto stopping =
+      std::count_if(agent.m_runs.begin(), agent.m_runs.end(),
+                    [](const auto& entry) { return entry.second.m_stage == RunStage::kStopping; });
+  return agent.m_unheld_stops.size() + static_cast<std::size_t>(stopping);
+}
+
 std::vector<RunCall> NextCalls(WorkerAgent& agent, const Time now) {
   std::vector<RunCall> calls;
   if (agent.m_clock_at == Time{}) return calls;
-  const auto is_in_flight = [](const auto& entry) { return entry.second.m_in_flight; };
-  const auto in_flight = static_cast<std::size_t>(
-      std::count_if(agent.m_runs.begin(), agent.m_runs.end(), is_in_flight) +
-      std::count_if(agent.m_unheld_stops.begin(), agent.m_unheld_stops.end(), is_in_flight));
-  const std::size_t limit =
-      agent.m_options.m_max_calls - std::min(in_flight, agent.m_options.m_max_calls);
-  for (auto& [task, stop] : agent.m_unheld_stops) {
-    if (calls.size() >= limit) break;
-    if (stop.m_in_flight || now < stop.m_next_call) continue;
-    stop.m_in_flight = true;
-    calls.push_back(
-        {.m_kind = RunCallKind::kStop, .m_order = {.m_task = task, .m_run = stop.m_run}});
-  }
-  // Starts at a worker that does not answer would keep stops waiting for their deadlines.
-  for (const bool stops : {true, false}) {
-    for (auto& [task, run] : agent.m_runs) {
-      if (calls.size() >= limit) break;
-      if (run.m_in_flight || now < run.m_next_call) continue;
-      if ((run.m_stage == RunStage::kStopping) != stops) continue;
-      if (auto call = MakeCall(agent, now, run)) {
-        run.m_in_flight = true;
-        calls.push_back(std::move(*call));
-      }
+  auto room = RoomForCalls(agent);
+  AddStops(agent, now, room.m_stops, calls);
+  // Starts have room of their own: behind the stops of a large job they would wait for seconds, and
+  // the members of a gang that started elsewhere would end alone.
+  for (auto& [task, run] : agent.m_runs) {
+    if (room.m_others == 0) break;
+    if (run.m_in_flight || now < run.m_next_call || run.m_stage == RunStage::kStopping) continue;
+    if (auto call = MakeCall(agent, now, run)) {
+      run.m_in_flight = true;
+      --room.m_others;
+      calls.push_back(std::move(*call));
     }
   }
   return calls;
--- a/packages/daemon/scenarios/fleet_large_job_test.cc
+++ b/packages/daemon/scenarios/fleet_large_job_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(AJobWithMuchSavedStateIsDone);
   CPPUNIT_TEST(AStoreWithLowerLimitsThanKnownIsServed);
   CPPUNIT_TEST(AJobThatNoRecordHoldsIsRefusedAtOnce);
+  CPPUNIT_TEST(ManySlowStopsEndInTimeAndDisturbNoOtherJob);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,32 @@
     }
     std::filesystem::remove_all(folder);
   }
+
+  /// Guards against runs of cancelled jobs that work on longer than they may, because their stops
+  /// wait for each other; and against stops that take the connections of the calls that renew the
+  /// leases of all runs there. The platform's pages allow 3 s and the time of one stop, 0.4 s.
+  void ManySlowStopsEndInTimeAndDisturbNoOtherJob() {
+    constexpr auto kLimit = 3s + 400ms;
+    constexpr int kTasks = 300;
+    constexpr int kOthers = 4;
+    FleetSite site(2, 2);
+    CPPUNIT_ASSERT_EQUAL(
+        200, site.Call(0, "POST", "/renders/" + kOther, ManySmallTasks(kOthers, 60'000)).m_status);
+    CPPUNIT_ASSERT_EQUAL(
+        200, site.Call(0, "POST", "/renders/" + kLarge, ManySmallTasks(kTasks, 60'000)).m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Running() == kTasks + kOthers; }));
+    std::this_thread::sleep_for(1s);  // The agents report what runs.
+    for (std::size_t i = 0; i < 2; ++i) site.SetWorkerFaults(i, R"({"stop_ms":390})");
+    const auto starts = site.Starts();
+    CPPUNIT_ASSERT_EQUAL(200, site.Call(0, "DELETE", "/renders/" + kLarge).m_status);
+    const auto cancelled = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Running() == kOthers; }));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - cancelled <= kLimit);
+    // A run of the other job whose lease had lapsed would have been started again.
+    std::this_thread::sleep_for(1s);
+    CPPUNIT_ASSERT_EQUAL(kOthers, site.Running());
+    CPPUNIT_ASSERT_EQUAL(starts, site.Starts());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetLargeJobTest);
--- a/packages/daemon/src/fleet/fleet_agent_role.cc
+++ b/packages/daemon/src/fleet/fleet_agent_role.cc
@@ -227,6 +227,7 @@
     m_fleet_metrics.Set("runs", static_cast<double>(m_agent.m_runs.size()));
     m_fleet_metrics.Set("unrecorded_ends", static_cast<double>(m_agent.m_ends.size()));
     m_fleet_metrics.Set("ends_total", static_cast<double>(m_ended_runs));
+    m_fleet_metrics.Set("unstopped_runs", static_cast<double>(CountStopping(m_agent)));
     m_fleet_metrics.Set("states_ignored_total", static_cast<double>(m_agent.m_states_ignored));
     const auto shares = core::fleet::CountShares(m_agent);
     AddShareSeconds(shares);
