Store each part of a job's progress under its own key

The function that names a record's key left out the number of the part, so each part of a job replaced the others in the store, and a successor started tasks again that were done.

KeyOf in the core names the key of each record, for the daemon and for the tests, and ProgressKey has no default for the part.

ASuccessorStartsNoTaskAgain (400 tasks, the coordinator is stopped half way; real roles) fails without the number of the part in the key.

--- a/packages/core/include/ebonypin/core/fleet/records.h
+++ b/packages/core/include/ebonypin/core/fleet/records.h
@@ -104,8 +104,10 @@
                                   SettledRecord, RemovedRecord>;
 
 [[nodiscard]] std::string JobKey(const JobId& job);
-[[nodiscard]] std::string ProgressKey(const JobId& job, std::uint32_t part = 0);
+[[nodiscard]] std::string ProgressKey(const JobId& job, std::uint32_t part);
 [[nodiscard]] std::string MemberKey(const AgentId& agent);
+/// Returns the key under which the change is stored.
+[[nodiscard]] std::string KeyOf(const RecordChange& change);
 
 /// Returns the part of the job's progress that holds the task: parts are numbered by occurrence,
 /// and within it by groups of kTasksPerPart tasks in the order of steps and indices.
--- a/packages/core/src/fleet/coordinator_tick.cc
+++ b/packages/core/src/fleet/coordinator_tick.cc
@@ -135,7 +135,7 @@
     for (const auto part : job->second.m_stored_parts) {
       state.m_removed_keys.push_back(ProgressKey(job->first, part));
     }
-    state.m_removed_keys.push_back(ProgressKey(job->first));
+    state.m_removed_keys.push_back(ProgressKey(job->first, 0));
     job = state.m_jobs.erase(job);
   }
 }
--- a/packages/core/tests/fleet/call_judge.cc
+++ b/packages/core/tests/fleet/call_judge.cc
@@ -54,7 +54,7 @@
     if (start && *start > *told.m_cancelled + kCancelEffective) {
       Report(id, told, "cancelled, then started");
     }
-    const auto stored = m_store.m_progress.find(ProgressKey(id));
+    const auto stored = m_store.m_progress.find(ProgressKey(id, 0));
     const bool kept = stored != m_store.m_progress.end() &&
                       (stored->second.m_cancelled || stored->second.m_closed);
     if (!kept) Report(id, told, "cancelled, and the store has it open or has no record");
--- a/packages/core/tests/fleet/coordinator_test.cc
+++ b/packages/core/tests/fleet/coordinator_test.cc
@@ -256,7 +256,7 @@
         removed.insert(record->m_key);
       }
     }
-    CPPUNIT_ASSERT(removed.count(JobKey({"j"})) == 1 && removed.count(ProgressKey({"j"})) == 1);
+    CPPUNIT_ASSERT(removed.count(JobKey({"j"})) == 1 && removed.count(ProgressKey({"j"}, 0)) == 1);
   }
 };
 
--- a/packages/core/tests/fleet/large_job_test.cc
+++ b/packages/core/tests/fleet/large_job_test.cc
@@ -18,17 +18,6 @@
 /// Newest records by key, as the store keeps them.
 using StoredRecords = std::map<std::string, RecordChange>;
 
-std::string KeyOf(const RecordChange& change) {
-  if (const auto* const job = std::get_if<JobSpec>(&change)) return JobKey(job->m_id);
-  if (const auto* const progress = std::get_if<JobProgress>(&change)) {
-    return ProgressKey(progress->m_job, progress->m_part);
-  }
-  if (const auto* const member = std::get_if<MemberRecord>(&change)) {
-    return MemberKey(member->m_agent);
-  }
-  return "";
-}
-
 void Store(StoredRecords& stored, const RecordChange& change) {
   if (const auto* const removed = std::get_if<RemovedRecord>(&change)) {
     stored.erase(removed->m_key);
@@ -115,6 +104,7 @@
   CPPUNIT_TEST(ADoneJobAndItsPartsAreRecordedTogether);
   CPPUNIT_TEST(PartsOfAnOccurrenceOutliveItsRecord);
   CPPUNIT_TEST(ProgressOfAnEarlierVersionMovesIntoParts);
+  CPPUNIT_TEST(TheEndOfAGangIsWrittenForAllMembers);
   CPPUNIT_TEST(AGangThatIsRecordedInPartIsDone);
   CPPUNIT_TEST(LeftoverPartsAreRemoved);
   CPPUNIT_TEST(AJobIsForgottenBeforeItsProgress);
@@ -317,6 +307,21 @@
     CPPUNIT_ASSERT(Successor(stored).m_state.m_open_jobs.count({"large"}) == 0);
   }
 
+  /// Guards against members of a gang that are not recorded as done, because the end of one member
+  /// lets only its own part be written.
+  void TheEndOfAGangIsWrittenForAllMembers() {
+    auto job = MakeLargeJob(40);
+    job.m_steps[0].m_gang = true;
+    job.m_steps.push_back(MakeJob("x").m_steps[0]);
+    auto site = SiteAtWork(job, {});
+    EndRuns(site, 20, 21, RunOutcome::kDone);
+    std::size_t done = 0;
+    for (const auto& change : TakeWrites(site.m_state, site.m_wall).m_records) {
+      for (const auto& task : std::get<JobProgress>(change).m_tasks) done += task.m_done ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{40}, done);
+  }
+
   /// Guards against a gang that is started again, in part, because its end was recorded in one part
   /// only.
   void AGangThatIsRecordedInPartIsDone() {
@@ -370,7 +375,7 @@
     Tick(site.m_state, site.m_now, site.m_wall, site.m_now);
     const auto& keys = site.m_state.m_removed_keys;
     const auto job = std::find(keys.begin(), keys.end(), JobKey({"large"}));
-    const auto progress = std::find(keys.begin(), keys.end(), ProgressKey({"large"}));
+    const auto progress = std::find(keys.begin(), keys.end(), ProgressKey({"large"}, 0));
     CPPUNIT_ASSERT(job < progress && progress != keys.end());
   }
 
--- a/packages/daemon/scenarios/fleet_large_job_test.cc
+++ b/packages/daemon/scenarios/fleet_large_job_test.cc
@@ -29,6 +29,7 @@
 class FleetLargeJobTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetLargeJobTest);
   CPPUNIT_TEST(AJobWithMuchSavedStateIsDone);
+  CPPUNIT_TEST(ASuccessorStartsNoTaskAgain);
   CPPUNIT_TEST(AStoreWithLowerLimitsThanKnownIsServed);
   CPPUNIT_TEST(AJobThatNoRecordHoldsIsRefusedAtOnce);
   CPPUNIT_TEST(ManySlowStopsEndInTimeAndDisturbNoOtherJob);
@@ -48,6 +49,22 @@
     CPPUNIT_ASSERT_EQUAL(0, site.RefusedAppends());
   }
 
+  /// Guards against parts of a job's progress that replace each other in the store, so that a
+  /// successor starts tasks again that are done.
+  void ASuccessorStartsNoTaskAgain() {
+    FleetSite site(2, 2);
+    constexpr int kTasks = 400;  // Forty run at a time.
+    const auto job = fmt::format(
+        R"({{"Spec":"run 400","Steps":[{{"Count":{},"Cpu":200,"MemMb":1,"EstMs":400}}]}})", kTasks);
+    const auto first = site.Starts();
+    CPPUNIT_ASSERT_EQUAL(200, site.Call(0, "POST", "/renders/" + kLarge, job).m_status);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.Starts() >= first + kTasks / 2; }));
+    const auto coordinator = site.Coordinator();
+    site.StopEntry(coordinator);
+    CPPUNIT_ASSERT(WaitUntil([&] { return site.StateOf(1 - coordinator, kLarge) == "done"; }));
+    CPPUNIT_ASSERT_EQUAL(first + kTasks, site.Starts());
+  }
+
   /// Guards against the same with a store that takes less than the settings say.
   void AStoreWithLowerLimitsThanKnownIsServed() {
     FleetSite site(1, 2);
--- a/packages/daemon/src/fleet/coordinator_appends.cc
+++ b/packages/daemon/src/fleet/coordinator_appends.cc
@@ -14,9 +14,6 @@
 using core::fleet::AppendOutcome;
 using core::fleet::JobCallReply;
 using core::fleet::JobCallStatus;
-using core::fleet::JobKey;
-using core::fleet::MemberKey;
-using core::fleet::ProgressKey;
 using platform::AppendStatus;
 using namespace std::chrono_literals;
 
@@ -25,25 +22,17 @@
 constexpr auto kStoreRetryAfter = 1s;
 
 platform::KeyedRecord ToRecord(const core::fleet::RecordChange& change) {
-  return std::visit(
-      [](const auto& record) -> platform::KeyedRecord {
-        using T = std::decay_t<decltype(record)>;
-        if constexpr (std::is_same_v<T, core::fleet::JobSpec>) {
-          return {.m_key = JobKey(record.m_id), .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::JobProgress>) {
-          return {.m_key = ProgressKey(record.m_job), .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::MemberRecord>) {
-          return {.m_key = MemberKey(record.m_agent), .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::ImagePairsRecord>) {
-          return {.m_key = std::string{core::fleet::kImagePairsKey},
-                  .m_value = wire::Encode(record)};
-        } else if constexpr (std::is_same_v<T, core::fleet::SettledRecord>) {
-          return {.m_key = std::string{core::fleet::kSettledKey}, .m_value = wire::Encode(record)};
-        } else {
-          return {.m_key = record.m_key};
-        }
-      },
-      change);
+  return {.m_key = KeyOf(change),
+          .m_value = std::visit(
+              [](const auto& record) -> std::string {
+                using T = std::decay_t<decltype(record)>;
+                if constexpr (std::is_same_v<T, core::fleet::RemovedRecord>) {
+                  return {};
+                } else {
+                  return wire::Encode(record);
+                }
+              },
+              change)};
 }
 
 AppendOutcome OutcomeOf(const AppendStatus status) noexcept {
