--- a/packages/daemon/scenarios/cancel_play.cc
+++ b/packages/daemon/scenarios/cancel_play.cc
@@ -232,8 +232,13 @@
 }
 
 std::string Describe(const CancelPlan& plan) {
-  auto text = fmt::format("seed {}: {} jobs", plan.m_seed, plan.m_jobs.size());
-  for (const auto& disruption : plan.m_disruptions) {
+  return fmt::format("seed {}: {} jobs", plan.m_seed, plan.m_jobs.size()) +
+         Describe(plan.m_disruptions);
+}
+
+std::string Describe(const std::vector<Disruption>& disruptions) {
+  std::string text;
+  for (const auto& disruption : disruptions) {
     text += fmt::format(", {} of {} at {} ms", KindName(disruption.m_kind),
                         disruption.m_of_coordinator ? "the coordinator"
                                                     : ProcessSite::EntryName(disruption.m_entry),
--- a/packages/daemon/scenarios/cancel_play.h
+++ b/packages/daemon/scenarios/cancel_play.h
@@ -39,6 +39,7 @@
 [[nodiscard]] CancelPlan DrawCancelPlan(std::uint64_t seed, std::size_t entries);
 
 [[nodiscard]] std::string Describe(const CancelPlan& plan);
+[[nodiscard]] std::string Describe(const std::vector<Disruption>& disruptions);
 
 struct CancelPlayResult {
   std::vector<std::string> m_faults;  ///< One line for each fault that was found.
--- a/packages/daemon/scenarios/process_site.cc
+++ b/packages/daemon/scenarios/process_site.cc
@@ -36,7 +36,7 @@
 ProcessSite::ProcessSite(const std::size_t entries, const std::size_t agents,
                          std::string log_folder, std::string entry_settings)
     : m_log_folder(std::move(log_folder)), m_entry_settings(std::move(entry_settings)) {
-  const auto store = FreeAddress(kListenIp);
+  const auto store = m_store_address = FreeAddress(kListenIp);
   m_store = standin::CreateStandin("store", store);
   m_store->Start();
   PutConfig(store);
@@ -157,6 +157,18 @@
   return std::nullopt;
 }
 
+void ProcessSite::SetStoreFaults(const std::string& json) const {
+  (void)SendHttp(m_store_address, "POST", "/faults", json);
+}
+
+void ProcessSite::SetWorkerFaults(const std::string& json) const {
+  for (const auto& worker : m_worker_addresses) (void)SendHttp(worker, "POST", "/faults", json);
+}
+
+int ProcessSite::RefusedAppends() const {
+  return SendHttp(m_store_address, "GET", "/sim", {}).m_body.at("refused").as_integer();
+}
+
 std::vector<ObservedRun> ProcessSite::Runs() const {
   std::vector<ObservedRun> runs;
   for (std::size_t i = 0; i < m_workers.size(); ++i) {
--- a/packages/daemon/scenarios/process_site.h
+++ b/packages/daemon/scenarios/process_site.h
@@ -67,6 +67,12 @@
   [[nodiscard]] static std::string StoreName() { return "store"; }
   [[nodiscard]] CutNetwork& Network() noexcept { return m_network; }
 
+  /// Sets options of the stand-ins; the sources of these list them.
+  void SetStoreFaults(const std::string& json) const;
+  void SetWorkerFaults(const std::string& json) const;
+  /// Returns the number of appends that the store refused because of their sizes.
+  [[nodiscard]] int RefusedAppends() const;
+
   /// Returns the runs of all workers.
   [[nodiscard]] std::vector<ObservedRun> Runs() const;
 
@@ -88,6 +94,7 @@
   const std::string m_log_folder;
   const std::string m_entry_settings;
   CutNetwork m_network;
+  std::string m_store_address;
   std::unique_ptr<standin::Standin> m_store;
   std::vector<std::string> m_worker_addresses;
   std::vector<std::unique_ptr<standin::Standin>> m_workers;
