Read answers of the log service without blocking

What was seen: daemon_scenarios stood still in ConcurrentChangesHaveOneWinner until CTest ended it after 300 s, "log unavailable" in its log. A role with the project's own log can stand still in the same way; a deployment has up to 4 calls to the log at a time and 40 threads, so it is not known to have.

Cause: the client of the log service waited for the body of an answer on a thread of the HTTP library, which needs one of its threads to receive a body. With as many answers at once as there are threads, all of them wait for good, and no call of the process is answered any more. The test program has 4 threads, since its first role is an agent, and two entries in one process have 8 calls.

Evidence: in 8 runs of the agent's and the entry's scenarios beside each other 3 stood still; in each, all 4 threads were in that wait.

The body is read in a continuation now, as the other clients do, so no thread of the library waits. The same scenarios beside each other: 24 of 24 runs ended.

SetSingleUseBody waits for a thread of the library too.

--- a/packages/platform/src/http_log_service.cc
+++ b/packages/platform/src/http_log_service.cc
@@ -36,13 +36,22 @@
   std::optional<core::Error> m_error;
 };
 
-Outcome TakeAnswer(const pplx::task<http_response>& task) {
+/// Returns the answer once its body has arrived. Waiting for the body here would keep a thread of
+/// the HTTP client, which needs one to receive it: as many answers at once as there are threads
+/// would all wait for good.
+pplx::task<Outcome> ReadAnswer(const http_response& response) {
+  const auto status = response.status_code();
+  if (status != web::http::status_codes::OK) {
+    return pplx::task_from_result(Outcome{.m_status = status});
+  }
+  return response.extract_json(true).then(
+      [status](const value& body) { return Outcome{.m_status = status, .m_body = body}; });
+}
+
+/// Returns the outcome of a call that has ended.
+Outcome TakeOutcome(const pplx::task<Outcome>& ended) {
   try {
-    const auto response = task.get();
-    return {.m_status = response.status_code(),
-            .m_body = response.status_code() == web::http::status_codes::OK
-                          ? response.extract_json(true).get()
-                          : value{}};
+    return ended.get();
   } catch (const web::http::http_exception& exception) {
     // The connection could not be made, so nothing was sent.
     if (exception.error_code() == std::errc::host_unreachable) {
@@ -68,8 +77,9 @@
     auto promise = std::make_shared<std::promise<Outcome>>();
     auto future = promise->get_future();
     client->request(request, cancel.get_token())
-        .then([promise, client](const pplx::task<http_response>& task) {
-          promise->set_value(TakeAnswer(task));
+        .then(ReadAnswer)
+        .then([promise, client](const pplx::task<Outcome>& ended) {
+          promise->set_value(TakeOutcome(ended));
         });
     auto outcome = Outcome{.m_error = NoAnswer("deadline passed")};
     if (future.wait_for(deadline) == std::future_status::ready) {
