Serve stand-ins with the project's own HTTP server

Cause: the listener of cpprestsdk closes the sockets of its connections on the thread that closes the listener, while its own threads may be starting to write a response. A stand-in answers its long polls when it stops, so each stop ran into this race.

The stand-ins and the fake entry of ebonypinctl's tests use packages/http, where all sockets of a listener belong to one thread.

AServerStopsWhileItAnswersCalls stops a stand-in 300 times while it answers 16 polls.

Calls that a fault leaves without an answer stay open until their client ends them; the collections that kept them are gone.

--- a/packages/ctl/tests/fake_entry.cc
+++ b/packages/ctl/tests/fake_entry.cc
@@ -5,10 +5,13 @@
 #include <unistd.h>
 
 #include <stdexcept>
+#include <string_view>
 
 namespace ebonypin::ctl {
 namespace {
 
+constexpr std::string_view kScheme = "http://";
+
 /// Returns a socket bound to a free loopback port, and its URL.
 std::pair<int, std::string> BindToFreePort() {
   const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
@@ -21,7 +24,8 @@
       getsockname(descriptor, generic, &size) != 0) {
     throw std::runtime_error("no free port");
   }
-  return {descriptor, "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port))};
+  return {descriptor,
+          std::string{kScheme} + "127.0.0.1:" + std::to_string(ntohs(address.sin_port))};
 }
 
 }  // namespace
@@ -32,10 +36,12 @@
   constexpr int kTries = 10;
   for (int i = 0; i < kTries; ++i) {
     m_url = ClosedUrl();
-    m_listener = std::make_unique<web::http::experimental::listener::http_listener>(m_url);
-    m_listener->support([this](web::http::http_request request) { Serve(request); });
     try {
-      m_listener->open().wait();
+      m_server = std::make_unique<http::Server>(
+          m_url.substr(kScheme.size()), http::ServerLimits{},
+          [this](const http::Request& request, const http::Respond& respond) {
+            Serve(request, respond);
+          });
       return;
     } catch (const std::exception&) {
       continue;
@@ -44,22 +50,21 @@
   throw std::runtime_error("no free port");
 }
 
-FakeEntry::~FakeEntry() { m_listener->close().wait(); }
-
 std::vector<FakeCall> FakeEntry::Calls() {
   const std::lock_guard lock(m_mutex);
   return m_calls;
 }
 
-void FakeEntry::Serve(web::http::http_request request) {
-  const auto text = request.extract_string(true).get();
-  const FakeCall call{.m_method = request.method(),
-                      .m_path = request.request_uri().to_string(),
-                      .m_body = text.empty() ? web::json::value{} : Json(text)};
+void FakeEntry::Serve(const http::Request& request, const http::Respond& respond) {
+  const auto query = request.m_query.empty() ? "" : "?" + request.m_query;
+  const FakeCall call{.m_method = request.m_method,
+                      .m_path = request.m_path + query,
+                      .m_body = request.m_body.empty() ? web::json::value{} : Json(request.m_body)};
   const std::lock_guard lock(m_mutex);
   m_calls.push_back(call);
   const auto answer = m_handler(call);
-  request.reply(static_cast<web::http::status_code>(answer.first), answer.second);
+  respond({.m_status = static_cast<unsigned>(answer.first), .m_body = answer.second.serialize()},
+          {});
 }
 
 SilentEntry::SilentEntry() {
--- a/packages/ctl/tests/fake_entry.h
+++ b/packages/ctl/tests/fake_entry.h
@@ -1,14 +1,17 @@
 /// Fake entries for tests; FakeEntry answers HTTP calls with a handler function and records them.
 #pragma once
 
-#include <cpprest/http_listener.h>
+#include <cpprest/json.h>
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "ebonypin/http/server.h"
+
 namespace ebonypin::ctl {
 
 /// Received call, for example {"GET", "/v1/audit?limit=1", null}.
@@ -24,7 +27,6 @@
 class FakeEntry {
  public:
   explicit FakeEntry(std::function<FakeResponse(const FakeCall&)> handler);
-  ~FakeEntry();
   FakeEntry(const FakeEntry&) = delete;
   FakeEntry& operator=(const FakeEntry&) = delete;
 
@@ -32,13 +34,14 @@
   [[nodiscard]] std::vector<FakeCall> Calls();
 
  private:
-  void Serve(web::http::http_request request);
+  void Serve(const http::Request& request, const http::Respond& respond);
 
   std::function<FakeResponse(const FakeCall&)> m_handler;
   std::mutex m_mutex;
   std::vector<FakeCall> m_calls;
   std::string m_url;
-  std::unique_ptr<web::http::experimental::listener::http_listener> m_listener;
+  /// Last, so that it stops before what its handler uses.
+  std::unique_ptr<http::Server> m_server;
 };
 
 /// Accepts connections and requests but never responds, like an entry that is paused or
--- a/packages/standin/src/advice/advice_standin.cc
+++ b/packages/standin/src/advice/advice_standin.cc
@@ -7,7 +7,7 @@
 ///     POST /advise                        as the platform's pages describe it
 ///     GET  /sim                           -> {"answered": n, "refused": n}
 ///     POST /faults {"silent": true}       calls wait until {"silent": false}
-#include <cpprest/http_listener.h>
+#include <cpprest/http_msg.h>
 #include <gflags/gflags.h>
 
 #include <condition_variable>
@@ -15,9 +15,8 @@
 #include <mutex>
 #include <thread>
 
-#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
-#include "read_body.h"
+#include "http_call.h"
 #include "ticket.h"
 
 DEFINE_int64(advice_decide_ms, 100, "advice: time for a call");
@@ -27,7 +26,6 @@
 namespace ebonypin::standin {
 namespace {
 
-using web::http::http_request;
 using web::http::status_codes;
 using web::json::value;
 
@@ -35,9 +33,7 @@
 
 class AdviceStandin final : public Standin {
  public:
-  explicit AdviceStandin(const std::string& listen) : m_listener("http://" + listen) {
-    m_listener.support([this](const http_request& request) { Serve(request); });
-  }
+  explicit AdviceStandin(std::string listen) : m_listen(std::move(listen)) {}
 
   ~AdviceStandin() override {
     {
@@ -46,51 +42,42 @@
     }
     m_changed.notify_all();
     if (m_handler.joinable()) m_handler.join();
-    CloseListener(m_listener);
-    m_gate->Close();
   }
 
   void Start() override {
-    m_listener.open().wait();
+    m_server = StartServer(m_listen, [this](const HttpCall& call) { Serve(call); });
     m_handler = std::thread([this] { HandleCalls(); });
   }
 
  private:
-  struct Call {
-    http_request m_request;
+  struct AdviceCall {
+    HttpCall m_call;
     value m_body;
   };
 
-  void Serve(const http_request& request) {
-    if (request.method() == web::http::methods::GET) {
+  void Serve(const HttpCall& call) {
+    if (call.m_request.m_method == web::http::methods::GET) {
       const std::lock_guard lock(m_mutex);
       value json = value::object();
       json["answered"] = value::number(m_answered);
       json["refused"] = value::number(m_refused);
-      request.reply(status_codes::OK, json);
+      Respond(call, status_codes::OK, json);
       return;
     }
-    UseBody(request, request.extract_json(true), m_gate,
-            [this, request](const pplx::task<value>& body) {
-              try {
-                Take(request, body.get());
-              } catch (const std::exception& exception) {
-                request.reply(status_codes::BadRequest, exception.what());
-              }
-            });
+    Take(call, JsonOf(call));
   }
 
-  void Take(const http_request& request, const value& body) {
+  void Take(const HttpCall& call, const value& body) {
     const std::lock_guard lock(m_mutex);
-    if (request.relative_uri().path() == "/faults") {
+    if (call.m_request.m_path == "/faults") {
       m_silent = body.at("silent").as_bool();
-      request.reply(status_codes::OK);
+      RespondText(call, status_codes::OK);
     } else if (m_calls.size() >= kMaxWaiting) {
       ++m_refused;
-      request.reply(status_codes::TooManyRequests);
+      RespondText(call, status_codes::TooManyRequests);
     } else {
       (void)body.at("Workers").as_array();
-      m_calls.push_back({.m_request = request, .m_body = body});
+      m_calls.push_back({.m_call = call, .m_body = body});
     }
     m_changed.notify_all();
   }
@@ -110,7 +97,7 @@
     }
   }
 
-  static void Answer(const Call& call) {
+  static void Answer(const AdviceCall& call) {
     const auto until =
         std::chrono::steady_clock::now() + std::chrono::milliseconds{FLAGS_advice_valid_ms};
     std::vector<value> good;
@@ -121,19 +108,20 @@
     value json = value::object();
     json["Good"] = value::array(std::move(good));
     json["ValidMs"] = value::number(FLAGS_advice_valid_ms);
-    call.m_request.reply(status_codes::OK, json);
+    Respond(call.m_call, status_codes::OK, json);
   }
 
-  web::http::experimental::listener::http_listener m_listener;
-  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
+  const std::string m_listen;
   std::mutex m_mutex;
   std::condition_variable m_changed;
-  std::deque<Call> m_calls;  ///< Waiting and in progress.
+  std::deque<AdviceCall> m_calls;  ///< Waiting and in progress.
   std::uint64_t m_answered = 0;
   std::uint64_t m_refused = 0;
   bool m_silent = false;
   bool m_stopping = false;
   std::thread m_handler;
+  /// Last, so that it stops before what its handler uses.
+  std::unique_ptr<http::Server> m_server;
 };
 
 const bool kRegistered = RegisterStandin(
--- a/packages/standin/src/log/log_standin.cc
+++ b/packages/standin/src/log/log_standin.cc
@@ -4,7 +4,7 @@
 ///     GET  /v1/streams/S/entries?from=&max=&wait_ms=         -> {"first", "next", "entries":
 ///     [...]} POST /faults {"down", "slow_ms", "lose_answers", "lose_entries", "drop_oldest"} GET
 ///     /status                                           -> counters and faults
-#include <cpprest/http_listener.h>
+#include <cpprest/http_msg.h>
 #include <gflags/gflags.h>
 
 #include <condition_variable>
@@ -14,9 +14,8 @@
 #include <mutex>
 #include <thread>
 
-#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
-#include "read_body.h"
+#include "http_call.h"
 #include "stream_store.h"
 
 DEFINE_int64(log_max_age_ms, 0, "log stand-in: age after which an entry is dropped; 0: never");
@@ -27,7 +26,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using web::http::http_request;
 using web::http::status_codes;
 using web::json::value;
 
@@ -60,7 +58,7 @@
   std::string m_stream;
   std::uint64_t m_from = 0;
   std::uint64_t m_max = 0;
-  http_request m_request;
+  HttpCall m_call;
 };
 
 value ToJson(const StreamRead& read) {
@@ -87,9 +85,7 @@
 
 class LogStandin final : public Standin {
  public:
-  explicit LogStandin(const std::string& listen) : m_listener("http://" + listen) {
-    m_listener.support([this](const http_request& request) { Serve(request); });
-  }
+  explicit LogStandin(std::string listen) : m_listen(std::move(listen)) {}
 
   ~LogStandin() override {
     {
@@ -98,65 +94,32 @@
     }
     m_wake.notify_all();
     if (m_timer.joinable()) m_timer.join();
-    CloseListener(m_listener);
-    m_gate->Close();
   }
 
   void Start() override {
-    m_listener.open().wait();
+    m_server = StartServer(m_listen, [this](const HttpCall& call) { Serve(call); });
     m_timer = std::thread([this] { RunTimer(); });
   }
 
  private:
-  void Serve(const http_request& request) {
-    try {
-      const auto path = web::uri::split_path(request.relative_uri().path());
-      const bool post = request.method() == web::http::methods::POST;
-      if (path.size() == 4 && path[0] == "v1" && path[1] == "streams" && path[3] == "entries") {
-        const auto stream = web::uri::decode(path[2]);
-        if (post)
-          return ReadBody(request, [this, request, stream](const value& body) {
-            ServeAppend(request, stream, body.at("data").as_string());
-          });
-        return ServeRead(request, stream);
-      }
-      if (path.size() == 1 && path[0] == "faults" && post) {
-        return ReadBody(request, [this, request](const value& body) { SetFaults(request, body); });
-      }
-      if (path.size() == 1 && path[0] == "status") return ServeStatus(request);
-      Reply(request, status_codes::NotFound, value::string("no such route"));
-    } catch (const std::exception& exception) {
-      Reply(request, status_codes::BadRequest, value::string(exception.what()));
+  void Serve(const HttpCall& call) {
+    const auto path = web::uri::split_path(call.m_request.m_path);
+    const bool post = call.m_request.m_method == web::http::methods::POST;
+    if (path.size() == 4 && path[0] == "v1" && path[1] == "streams" && path[3] == "entries") {
+      const auto stream = web::uri::decode(path[2]);
+      if (post) return ServeAppend(call, stream, JsonOf(call).at("data").as_string());
+      return ServeRead(call, stream);
     }
+    if (path.size() == 1 && path[0] == "faults" && post) return SetFaults(call, JsonOf(call));
+    if (path.size() == 1 && path[0] == "status") return ServeStatus(call);
+    Respond(call, status_codes::NotFound, value::string("no such route"));
   }
 
-  static void Reply(const http_request& request, const web::http::status_code status,
-                    const value& body) {
-    request.reply(status, body).then([](const pplx::task<void>& sent) {
-      try {
-        sent.get();
-      } catch (const std::exception&) {
-        // The client has gone.
-      }
-    });
-  }
-
-  void ReadBody(const http_request& request, std::function<void(const value&)> use) {
-    UseBody(request, http_request(request).extract_json(true), m_gate,
-            [request, use = std::move(use)](const pplx::task<value>& body) {
-              try {
-                use(body.get());
-              } catch (const std::exception& exception) {
-                Reply(request, status_codes::BadRequest, value::string(exception.what()));
-              }
-            });
-  }
-
-  void ServeAppend(const http_request& request, const std::string& stream, std::string data) {
+  void ServeAppend(const HttpCall& call, const std::string& stream, std::string data) {
     const std::lock_guard lock(m_mutex);
     ++m_appends;
     if (m_faults.m_down) {
-      return Reply(request, status_codes::ServiceUnavailable, value::string("down"));
+      return Respond(call, status_codes::ServiceUnavailable, value::string("down"));
     }
     const bool lose_entry = m_faults.m_lose_entries > 0;
     if (lose_entry) --m_faults.m_lose_entries;
@@ -170,31 +133,28 @@
                                                    ? AppendAndLose(entries)
                                                    : Append(entries, WallMs(), std::move(data));
                            Trim(entries, Limits(), WallMs());
-                           if (lose_answer) {
-                             m_unanswered.push_back(request);
-                             return;
-                           }
+                           if (lose_answer) return;
                            value body = value::object();
                            body["offset"] = value::number(offset);
-                           Reply(request, status_codes::OK, body);
+                           Respond(call, status_codes::OK, body);
                          }});
     m_wake.notify_all();
   }
 
-  void ServeRead(const http_request& request, const std::string& stream) {
-    const auto query = web::uri::split_query(request.relative_uri().query());
+  void ServeRead(const HttpCall& call, const std::string& stream) {
+    const auto query = QueryOf(call);
     const auto wait = std::min<std::int64_t>(
         kMaxWaitMs, static_cast<std::int64_t>(QueryNumber(query, "wait_ms", 0)));
     const std::lock_guard lock(m_mutex);
     ++m_reads;
     if (m_faults.m_down) {
-      return Reply(request, status_codes::ServiceUnavailable, value::string("down"));
+      return Respond(call, status_codes::ServiceUnavailable, value::string("down"));
     }
     Waiting waiting{.m_deadline = Clock::now() + std::chrono::milliseconds{wait},
                     .m_stream = stream,
                     .m_from = QueryNumber(query, "from", 1),
                     .m_max = std::min(kMaxEntriesPerRead, QueryNumber(query, "max", 256)),
-                    .m_request = request};
+                    .m_call = call};
     if (m_faults.m_slow_ms > 0) {
       m_delayed.push_back({.m_due = Clock::now() + std::chrono::milliseconds{m_faults.m_slow_ms},
                            .m_send = [this, waiting] { m_waiting.push_back(waiting); }});
@@ -210,7 +170,7 @@
     Trim(entries, Limits(), WallMs());
     const auto read = Read(entries, waiting.m_from, waiting.m_max);
     if (read.m_entries.empty() && Clock::now() < waiting.m_deadline) return false;
-    Reply(waiting.m_request, status_codes::OK, ToJson(read));
+    Respond(waiting.m_call, status_codes::OK, ToJson(read));
     return true;
   }
 
@@ -218,7 +178,7 @@
     m_waiting.remove_if([this](const Waiting& waiting) { return TryAnswer(waiting); });
   }
 
-  void SetFaults(const http_request& request, const value& body) {
+  void SetFaults(const HttpCall& call, const value& body) {
     const std::lock_guard lock(m_mutex);
     if (body.has_field("down")) m_faults.m_down = body.at("down").as_bool();
     if (body.has_field("slow_ms")) m_faults.m_slow_ms = body.at("slow_ms").as_number().to_int64();
@@ -233,12 +193,12 @@
         DropOldest(stream, body.at("drop_oldest").as_number().to_uint64());
       }
     }
-    Reply(request, status_codes::OK, StatusJson());
+    Respond(call, status_codes::OK, StatusJson());
   }
 
-  void ServeStatus(const http_request& request) {
+  void ServeStatus(const HttpCall& call) {
     const std::lock_guard lock(m_mutex);
-    Reply(request, status_codes::OK, StatusJson());
+    Respond(call, status_codes::OK, StatusJson());
   }
 
   [[nodiscard]] value StatusJson() const {
@@ -281,8 +241,7 @@
     return {.m_max_age_ms = FLAGS_log_max_age_ms, .m_max_entries = FLAGS_log_max_entries};
   }
 
-  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
-  web::http::experimental::listener::http_listener m_listener;
+  const std::string m_listen;
   std::mutex m_mutex;
   std::condition_variable m_wake;
   bool m_stopping = false;
@@ -290,10 +249,11 @@
   Faults m_faults;
   std::list<Delayed> m_delayed;
   std::list<Waiting> m_waiting;
-  std::vector<http_request> m_unanswered;  ///< Kept, because dropping one would answer it.
   std::uint64_t m_appends = 0;
   std::uint64_t m_reads = 0;
   std::thread m_timer;
+  /// Last, so that it stops before what its handler uses.
+  std::unique_ptr<http::Server> m_server;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterStandin(
--- a/packages/standin/src/run_worker/run_worker_standin.cc
+++ b/packages/standin/src/run_worker/run_worker_standin.cc
@@ -14,16 +14,14 @@
 ///                  {"state_bytes": n}     runs and ends list a saved state of n bytes
 ///                  {"stop_ms": n}         a stop is done, and answered, after n ms
 #include <cpprest/http_client.h>
-#include <cpprest/http_listener.h>
 #include <gflags/gflags.h>
 
 #include <mutex>
 #include <thread>
 
 #include "advice/ticket.h"
-#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
-#include "read_body.h"
+#include "http_call.h"
 #include "run_worker_sim.h"
 
 DEFINE_string(run_worker_control, "", "run worker: address of the agent that takes heartbeats");
@@ -35,7 +33,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using web::http::http_request;
 using web::http::status_codes;
 using web::json::value;
 
@@ -55,13 +52,12 @@
 
 class RunWorkerStandin final : public Standin {
  public:
-  explicit RunWorkerStandin(const std::string& listen)
-      : m_listener("http://" + listen),
+  explicit RunWorkerStandin(std::string listen)
+      : m_listen(std::move(listen)),
         m_control(FLAGS_run_worker_control),
         m_id(FLAGS_run_worker_id),
         m_service(FLAGS_run_worker_service),
         m_cpu_millis(FLAGS_run_worker_cpu_millis) {
-    m_listener.support([this](const http_request& request) { Serve(request); });
     Restart();
   }
 
@@ -72,25 +68,23 @@
     }
     if (m_beats.joinable()) m_beats.join();
     if (m_ticks.joinable()) m_ticks.join();
-    CloseListener(m_listener);
-    m_gate->Close();
   }
 
   void Start() override {
-    m_listener.open().wait();
+    m_server = StartServer(m_listen, [this](const HttpCall& call) { Serve(call); });
     m_beats = std::thread([this] { SendHeartbeats(); });
     m_ticks = std::thread([this] { Tick(); });
   }
 
  private:
   struct WaitingHold {
-    http_request m_request;
+    HttpCall m_call;
     WorkerTime m_until;
     std::uint64_t m_ends = 0;  ///< Number of the next end when it arrived.
   };
 
   struct SlowStop {
-    http_request m_request;
+    HttpCall m_call;
     WorkerTime m_due;
     std::int64_t m_born = 0;
     std::string m_task;
@@ -109,33 +103,22 @@
     m_sequence = 0;
   }
 
-  void Serve(const http_request& request) {
-    if (request.method() == web::http::methods::GET) {
-      const std::lock_guard lock(m_mutex);
-      return request.relative_uri().path() == "/sim/runs" ? ReplyRuns(request)
-                                                          : ReplyStatus(request);
-    }
-    UseBody(request, request.extract_json(true), m_gate,
-            [this, request](const pplx::task<value>& body) {
-              const std::lock_guard lock(m_mutex);
-              try {
-                Answer(request, body.get());
-              } catch (const std::exception& exception) {
-                request.reply(status_codes::BadRequest, exception.what());
-              }
-            });
+  void Serve(const HttpCall& call) {
+    const std::lock_guard lock(m_mutex);
+    if (call.m_request.m_method != web::http::methods::GET) return Answer(call, JsonOf(call));
+    return call.m_request.m_path == "/sim/runs" ? ReplyRuns(call) : ReplyStatus(call);
   }
 
-  void ReplyStatus(const http_request& request) {
+  void ReplyStatus(const HttpCall& call) {
     value json = value::object();
     json["starts"] = value::number(m_sim.m_starts);
     json["running"] = value::number(static_cast<std::uint64_t>(m_sim.m_runs.size()));
     json["born"] = value::number(m_born_wall);
     json["refused_tickets"] = value::number(m_refused_tickets);
-    request.reply(status_codes::OK, json);
+    Respond(call, status_codes::OK, json);
   }
 
-  void ReplyRuns(const http_request& request) {
+  void ReplyRuns(const HttpCall& call) {
     const auto micros = [](const WorkerTime time) {
       const auto since =
           std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
@@ -152,38 +135,34 @@
       row["Acknowledged"] = value::boolean(times.m_acknowledged);
       rows.push_back(std::move(row));
     }
-    request.reply(status_codes::OK, value::array(std::move(rows)));
+    Respond(call, status_codes::OK, value::array(std::move(rows)));
   }
 
-  void Answer(const http_request& request, const value& body) {
-    const auto path = request.relative_uri().path();
-    if (path == "/faults") return SetFaults(request, body);
-    if (m_silent) {
-      m_unanswered.push_back(request);
-      return;
-    }
+  void Answer(const HttpCall& call, const value& body) {
+    const auto& path = call.m_request.m_path;
+    if (path == "/faults") return SetFaults(call, body);
+    if (m_silent) return;
     const auto fence = body.at("Fence").as_number().to_uint64();
-    if (!TakeFence(m_sim, fence)) return Reply(request, status_codes::Conflict, "fence");
+    if (!TakeFence(m_sim, fence)) return Reply(call, status_codes::Conflict, "fence");
     if (path == "/run-start") {
       if (m_late_starts > 0) {
         --m_late_starts;
         m_late.push_back({.m_due = Now() + kLateBy, .m_born = m_born_wall, .m_body = body});
-        m_unanswered.push_back(request);
         return;
       }
       const auto reason = StartOf(body);
-      Reply(request, reason.empty() ? status_codes::OK : status_codes::Conflict, reason);
+      Reply(call, reason.empty() ? status_codes::OK : status_codes::Conflict, reason);
     } else if (path == "/run-stop") {
-      m_stops.push_back({.m_request = request,
+      m_stops.push_back({.m_call = call,
                          .m_due = Now() + m_stop_time,
                          .m_born = m_born_wall,
                          .m_task = body.at("Task").as_string(),
                          .m_run = body.at("Run").as_number().to_uint64()});
       CarryOutStops();
     } else if (path == "/hold") {
-      Hold(request, body);
+      Hold(call, body);
     } else {
-      Reply(request, path == "/pace" ? status_codes::OK : status_codes::NotFound, {});
+      Reply(call, path == "/pace" ? status_codes::OK : status_codes::NotFound, {});
     }
   }
 
@@ -199,14 +178,14 @@
                                     body.at("DeadlineMs").as_number().to_int64());
   }
 
-  void Hold(const http_request& request, const value& body) {
+  void Hold(const HttpCall& call, const value& body) {
     if (body.has_field("DeadlineMs")) {
       Extend(m_sim, Now(), body.at("DeadlineMs").as_number().to_int64());
     }
     Forget(m_sim, body.at("SeenUpto").as_number().to_uint64());
     const std::chrono::milliseconds wait{body.has_field("WaitMs") ? body.at("WaitMs").as_integer()
                                                                   : 0};
-    m_holds.push_back({.m_request = request, .m_until = Now() + wait, .m_ends = m_sim.m_next_end});
+    m_holds.push_back({.m_call = call, .m_until = Now() + wait, .m_ends = m_sim.m_next_end});
   }
 
   void CarryOutStops() {
@@ -214,12 +193,12 @@
     std::erase_if(m_stops, [&](const SlowStop& stop) {
       if (now < stop.m_due) return false;
       if (stop.m_born == m_born_wall) Stop(m_sim, now, stop.m_task, stop.m_run);
-      Reply(stop.m_request, status_codes::OK, {});
+      Reply(stop.m_call, status_codes::OK, {});
       return true;
     });
   }
 
-  void SetFaults(const http_request& request, const value& json) {
+  void SetFaults(const HttpCall& call, const value& json) {
     if (json.has_field("silent")) m_silent = json.at("silent").as_bool();
     if (json.has_field("late_starts")) m_late_starts = json.at("late_starts").as_integer();
     if (json.has_field("draining")) m_draining = json.at("draining").as_bool();
@@ -230,7 +209,7 @@
       m_stop_time = std::chrono::milliseconds{json.at("stop_ms").as_integer()};
     }
     if (json.has_field("restart")) Restart();
-    request.reply(status_codes::OK);
+    RespondText(call, status_codes::OK);
   }
 
   value Stamp() const {
@@ -240,14 +219,13 @@
     return json;
   }
 
-  void Reply(const http_request& request, const web::http::status_code status,
-             const std::string& reason) {
+  void Reply(const HttpCall& call, const unsigned status, const std::string& reason) {
     value json = Stamp();
     if (!reason.empty()) json["Reason"] = value::string(reason);
-    request.reply(status, json);
+    Respond(call, status, json);
   }
 
-  void ReplyHold(const http_request& request) {
+  void ReplyHold(const HttpCall& call) {
     value json = Stamp();
     std::vector<value> running;
     for (const auto& [task, run] : m_sim.m_runs) {
@@ -264,7 +242,7 @@
     }
     json["Running"] = value::array(std::move(running));
     json["Ended"] = value::array(std::move(ended));
-    request.reply(status_codes::OK, json);
+    Respond(call, status_codes::OK, json);
   }
 
   void Tick() {
@@ -283,7 +261,7 @@
       if (m_silent) continue;
       std::erase_if(m_holds, [&](const WaitingHold& hold) {
         if (now < hold.m_until && m_sim.m_next_end == hold.m_ends) return false;
-        ReplyHold(hold.m_request);
+        ReplyHold(hold.m_call);
         return true;
       });
     }
@@ -327,8 +305,7 @@
     }
   }
 
-  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
-  web::http::experimental::listener::http_listener m_listener;
+  const std::string m_listen;
   const std::string m_control;
   const std::string m_id;
   const std::string m_service;
@@ -349,7 +326,8 @@
   std::uint64_t m_sequence = 0;
   std::vector<WaitingHold> m_holds;
   std::vector<LateStart> m_late;
-  std::vector<http_request> m_unanswered;
+  /// Last, so that it stops before what its handler uses.
+  std::unique_ptr<http::Server> m_server;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterStandin(
--- a/packages/standin/src/store/store_standin.cc
+++ b/packages/standin/src/store/store_standin.cc
@@ -14,7 +14,7 @@
 ///                  {"append_bytes": n}    larger appends are refused with 400
 ///                  {"put": {"topic": t, "key": k, "value": v}}    appends a record, as operators
 ///                  do
-#include <cpprest/http_listener.h>
+#include <cpprest/http_msg.h>
 
 #include <condition_variable>
 #include <mutex>
@@ -23,16 +23,14 @@
 #include <thread>
 #include <utility>
 
-#include "close_listener.h"
 #include "ebonypin/standin/standin.h"
+#include "http_call.h"
 #include "keyed_log.h"
-#include "read_body.h"
 
 namespace ebonypin::standin {
 namespace {
 
 using namespace std::chrono_literals;
-using web::http::http_request;
 using web::http::status_codes;
 using web::json::value;
 
@@ -55,31 +53,28 @@
 }
 
 /// Splits a body of frames: four bytes of length, most significant first, then the record.
-std::vector<StoreRecord> SplitFrames(const std::vector<unsigned char>& body) {
+std::vector<StoreRecord> SplitFrames(const std::string_view body) {
   std::vector<StoreRecord> records;
   std::size_t at = 0;
   while (at + 4 <= body.size()) {
     std::size_t length = 0;
-    for (int i = 0; i < 4; ++i) length = length << 8U | body[at++];
+    for (int i = 0; i < 4; ++i) length = length << 8U | static_cast<unsigned char>(body[at++]);
     if (at + length > body.size()) throw std::invalid_argument("frame cut off");
-    records.push_back({std::string(body.begin() + static_cast<std::ptrdiff_t>(at),
-                                   body.begin() + static_cast<std::ptrdiff_t>(at + length))});
+    records.push_back({std::string(body.substr(at, length))});
     at += length;
   }
   return records;
 }
 
-void PutNumber(std::vector<unsigned char>& out, const std::uint64_t number, const int bytes) {
+void PutNumber(std::string& out, const std::uint64_t number, const int bytes) {
   for (int i = bytes - 1; i >= 0; --i) {
-    out.push_back(static_cast<unsigned char>(number >> (8U * static_cast<unsigned>(i))));
+    out.push_back(static_cast<char>(number >> (8U * static_cast<unsigned>(i))));
   }
 }
 
 class StoreStandin final : public Standin {
  public:
-  explicit StoreStandin(const std::string& listen) : m_listener("http://" + listen) {
-    m_listener.support([this](const http_request& request) { Serve(request); });
-  }
+  explicit StoreStandin(std::string listen) : m_listen(std::move(listen)) {}
 
   ~StoreStandin() override {
     {
@@ -87,18 +82,16 @@
       m_stopping = true;
     }
     if (m_reader.joinable()) m_reader.join();
-    CloseListener(m_listener);
-    m_gate->Close();
   }
 
   void Start() override {
-    m_listener.open().wait();
+    m_server = StartServer(m_listen, [this](const HttpCall& call) { Answer(call); });
     m_reader = std::thread([this] { AnswerReads(); });
   }
 
  private:
   struct WaitingRead {
-    http_request m_request;
+    HttpCall m_call;
     std::string m_topic;
     std::uint64_t m_from = 0;
     StoreTime m_until;
@@ -106,61 +99,45 @@
 
   /// Append that is done after the next one.
   struct HeldAppend {
-    http_request m_request;
+    HttpCall m_call;
     std::string m_topic;
-    AppendCall m_call;
+    AppendCall m_append;
     StoreTime m_until;
   };
 
-  void Serve(const http_request& request) {
-    using Body = pplx::task<std::vector<unsigned char>>;
-    UseBody(request, static_cast<Body>(request.extract_vector()), m_gate,
-            [this, request](const Body& body) {
-              try {
-                Answer(request, body.get());
-              } catch (const std::exception& exception) {
-                request.reply(status_codes::BadRequest, exception.what());
-              }
-            });
-  }
-
-  void Answer(const http_request& request, const std::vector<unsigned char>& body) {
-    const auto path = request.relative_uri().path();
-    const auto query = web::uri::split_query(request.relative_uri().query());
+  void Answer(const HttpCall& call) {
+    const auto& path = call.m_request.m_path;
+    const auto query = QueryOf(call);
     const std::lock_guard lock(m_mutex);
-    if (path == "/faults") return SetFaults(request, value::parse(Text(body)));
+    if (path == "/faults") return SetFaults(call, JsonOf(call));
     if (path == "/sim") {
       value json = value::object();
       json["refused"] = value::number(m_refused);
-      request.reply(status_codes::OK, json);
+      Respond(call, status_codes::OK, json);
       return;
     }
     if (m_down) {
-      request.reply(status_codes::ServiceUnavailable);
+      RespondText(call, status_codes::ServiceUnavailable);
     } else if (path == "/log-append") {
-      Append(request, query, body);
+      Append(call, query);
     } else if (path == "/log-read") {
-      m_reads.push_back({.m_request = request,
+      m_reads.push_back({.m_call = call,
                          .m_topic = Get(query, "Topic"),
                          .m_from = GetNumber(query, "From"),
                          .m_until = std::chrono::steady_clock::now() +
                                     std::chrono::milliseconds{GetNumber(query, "WaitMs")}});
     } else if (path == "/log-newest") {
-      Newest(request, query);
+      Newest(call, query);
     } else if (path == "/log-join" || path == "/log-leave") {
-      Member(request, path, value::parse(Text(body)));
+      Member(call, path, JsonOf(call));
     } else if (path == "/log-owners") {
-      Owners(request, Get(query, "group"));
+      Owners(call, Get(query, "group"));
     } else {
-      request.reply(status_codes::NotFound);
+      RespondText(call, status_codes::NotFound);
     }
   }
 
-  static std::string Text(const std::vector<unsigned char>& body) {
-    return {body.begin(), body.end()};
-  }
-
-  void SetFaults(const http_request& request, const value& json) {
+  void SetFaults(const HttpCall& call, const value& json) {
     if (json.has_field("down")) m_down = json.at("down").as_bool();
     if (json.has_field("lose_answers")) m_lose_answers = json.at("lose_answers").as_integer();
     if (json.has_field("hold_append")) m_hold_append = json.at("hold_append").as_bool();
@@ -174,7 +151,7 @@
       m_limits.m_append = json.at("append_bytes").as_number().to_uint64();
     }
     if (json.has_field("put")) Put(json.at("put"));
-    request.reply(status_codes::OK);
+    RespondText(call, status_codes::OK);
   }
 
   void Put(const value& json) {
@@ -184,51 +161,49 @@
     (void)m_topics[json.at("topic").as_string()].Append({.m_records = {{record}}});
   }
 
-  void Append(const http_request& request, const Query& query,
-              const std::vector<unsigned char>& body) {
-    AppendCall call{.m_records = SplitFrames(body),
-                    .m_producer = Get(query, "Producer"),
-                    .m_epoch = GetNumber(query, "epoch"),
-                    .m_sequence = GetNumber(query, "Seq")};
-    if (const auto reason = CheckSizes(call.m_records, m_limits); !reason.empty()) {
+  void Append(const HttpCall& call, const Query& query) {
+    AppendCall append{.m_records = SplitFrames(call.m_request.m_body),
+                      .m_producer = Get(query, "Producer"),
+                      .m_epoch = GetNumber(query, "epoch"),
+                      .m_sequence = GetNumber(query, "Seq")};
+    if (const auto reason = CheckSizes(append.m_records, m_limits); !reason.empty()) {
       ++m_refused;
-      request.reply(status_codes::BadRequest, reason);
+      RespondText(call, status_codes::BadRequest, reason);
       return;
     }
-    if (query.count("At") > 0) call.m_at = GetNumber(query, "At");
-    if (m_hold_append && !call.m_records.empty()) {
+    if (query.count("At") > 0) append.m_at = GetNumber(query, "At");
+    if (m_hold_append && !append.m_records.empty()) {
       m_hold_append = false;
-      m_held = HeldAppend{.m_request = request,
+      m_held = HeldAppend{.m_call = call,
                           .m_topic = Get(query, "Topic"),
-                          .m_call = std::move(call),
+                          .m_append = std::move(append),
                           .m_until = std::chrono::steady_clock::now() + kHoldTime};
       return;
     }
-    const bool has_records = !call.m_records.empty();
-    Append(request, Get(query, "Topic"), call);
+    const bool has_records = !append.m_records.empty();
+    Append(call, Get(query, "Topic"), append);
     if (has_records) AppendHeld();
   }
 
   void AppendHeld() {
     const auto held = std::exchange(m_held, std::nullopt);
-    if (held) Append(held->m_request, held->m_topic, held->m_call);
+    if (held) Append(held->m_call, held->m_topic, held->m_append);
   }
 
-  void Append(const http_request& request, const std::string& topic, const AppendCall& call) {
-    const auto result = m_topics[topic].Append(call);
+  void Append(const HttpCall& call, const std::string& topic, const AppendCall& append) {
+    const auto result = m_topics[topic].Append(append);
     if (m_lose_answers > 0) {
       --m_lose_answers;
-      m_unanswered.push_back(request);
       return;
     }
     value json = value::object();
     json["Offset"] = value::number(result.m_offset);
     json["End"] = value::number(result.m_end);
     if (!result.m_reason.empty()) json["Reason"] = value::string(result.m_reason);
-    request.reply(static_cast<web::http::status_code>(result.m_status), json);
+    Respond(call, static_cast<unsigned>(result.m_status), json);
   }
 
-  void Newest(const http_request& request, const Query& query) {
+  void Newest(const HttpCall& call, const Query& query) {
     const auto& log = m_topics[Get(query, "Topic")];
     bool more = false;
     std::vector<value> items;
@@ -244,16 +219,16 @@
     json["items"] = value::array(std::move(items));
     json["More"] = value::boolean(more);
     json["End"] = value::number(log.End());
-    request.reply(status_codes::OK, json);
+    Respond(call, status_codes::OK, json);
   }
 
-  void Member(const http_request& request, const std::string& path, const value& json) {
+  void Member(const HttpCall& call, const std::string& path, const value& json) {
     const auto now = std::chrono::steady_clock::now();
     auto& group = m_groups[json.at("group").as_string()];
     const auto member = json.at("Member").as_string();
     if (path == "/log-leave") {
       group.Leave(member, now);
-      request.reply(status_codes::OK, value::object());
+      Respond(call, status_codes::OK, value::object());
       return;
     }
     const auto topic = json.at("Topics").at(0).as_string();
@@ -266,10 +241,10 @@
     value answer = value::object();
     answer["Generation"] = value::number(joined.m_generation);
     answer["parts"] = value::array(std::move(rows));
-    request.reply(status_codes::OK, answer);
+    Respond(call, status_codes::OK, answer);
   }
 
-  void Owners(const http_request& request, const std::string& group) {
+  void Owners(const HttpCall& call, const std::string& group) {
     std::vector<value> rows;
     for (const auto& [part, member] : m_groups[group].Owners(std::chrono::steady_clock::now())) {
       rows.push_back(value::array(
@@ -277,7 +252,7 @@
     }
     value answer = value::object();
     answer["parts"] = value::array(std::move(rows));
-    request.reply(status_codes::OK, answer);
+    Respond(call, status_codes::OK, answer);
   }
 
   void AnswerReads() {
@@ -295,25 +270,22 @@
     const auto& log = m_topics[read.m_topic];
     const auto records = log.Read(read.m_from, kItemsPerPage);
     if (!records) {
-      read.m_request.reply(status_codes::Gone, value::object());
+      Respond(read.m_call, status_codes::Gone, value::object());
       return true;
     }
     if (records->empty() && now < read.m_until && !m_down) return false;
-    std::vector<unsigned char> body;
+    std::string body;
     PutNumber(body, log.End(), 8);
     PutNumber(body, log.First(), 8);
     for (const auto& record : *records) {
       PutNumber(body, record.m_bytes.size(), 4);
-      body.insert(body.end(), record.m_bytes.begin(), record.m_bytes.end());
+      body += record.m_bytes;
     }
-    web::http::http_response response(status_codes::OK);
-    response.set_body(body);
-    read.m_request.reply(response);
+    RespondBytes(read.m_call, status_codes::OK, std::move(body));
     return true;
   }
 
-  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
-  web::http::experimental::listener::http_listener m_listener;
+  const std::string m_listen;
   std::thread m_reader;
   std::mutex m_mutex;
   bool m_stopping = false;
@@ -326,7 +298,8 @@
   std::map<std::string, KeyedLog> m_topics;
   std::map<std::string, MemberGroup> m_groups;
   std::vector<WaitingRead> m_reads;
-  std::vector<http_request> m_unanswered;
+  /// Last, so that it stops before what its handler uses.
+  std::unique_ptr<http::Server> m_server;
 };
 
 [[maybe_unused]] const bool kRegistered = RegisterStandin(
--- a/packages/standin/src/worker/worker_server.cc
+++ b/packages/standin/src/worker/worker_server.cc
@@ -1,19 +1,18 @@
 #include "worker_server.h"
 
+#include <cpprest/http_msg.h>
+
 #include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <exception>
 #include <utility>
 
-#include "close_listener.h"
-#include "read_body.h"
 #include "worker_json.h"
 
 namespace ebonypin::standin {
 namespace {
 
-using web::http::http_response;
 using web::http::status_codes;
 using web::json::value;
 
@@ -46,50 +45,34 @@
   return number;
 }
 
-void Send(const web::http::http_request& request, const http_response& response) {
-  request.reply(response).then([](const pplx::task<void>& sent) {
-    try {
-      sent.get();
-    } catch (const std::exception&) {
-      // The caller has gone; there is nobody left to tell.
-    }
-  });
-}
-
 }  // namespace
 
-WorkerServer::WorkerServer(const std::string& listen, SimOptions options)
-    : m_listener("http://" + listen), m_boot(NewBoot()) {
+WorkerServer::WorkerServer(std::string listen, SimOptions options)
+    : m_listen(std::move(listen)), m_boot(NewBoot()) {
   m_sim.m_options = options;
   m_sim.m_now = Now();
 }
 
 WorkerServer::~WorkerServer() {
-  std::vector<Request> open;
   {
     const std::lock_guard lock(m_mutex);
     m_stopping = true;
-    open = std::exchange(m_unanswered, {});
-    for (const auto& poll : m_polls) open.push_back(poll.m_request);
-    for (const auto& [number, request] : m_serving) open.push_back(request);
-    m_polls.clear();
-    m_serving.clear();
+    for (const auto& poll : m_polls) RespondText(poll.m_call, status_codes::ServiceUnavailable);
+    for (const auto& [number, call] : m_serving) {
+      RespondText(call, status_codes::ServiceUnavailable);
+    }
   }
   m_changed.notify_all();
   if (m_thread.joinable()) m_thread.join();
-  for (const auto& request : open) Send(request, http_response(status_codes::ServiceUnavailable));
-  CloseListener(m_listener);
-  m_gate->Close();
 }
 
 void WorkerServer::Start() {
-  m_listener.support([this](const Request& request) { Handle(request); });
-  m_listener.open().wait();
+  m_server = StartServer(m_listen, [this](const HttpCall& call) { Handle(call); });
   m_thread = std::thread([this] { Run(); });
 }
 
-void WorkerServer::Handle(const Request& request) {
-  static const std::map<std::string, Call> calls = {
+void WorkerServer::Handle(const HttpCall& call) {
+  static const std::map<std::string, Operation> operations = {
       {"POST /tasks", &WorkerServer::Start},
       {"POST /tasks/renew", &WorkerServer::Renew},
       {"POST /tasks/throttle", &WorkerServer::Throttle},
@@ -98,98 +81,62 @@
       {"POST /tasks/forget", &WorkerServer::Forget},
       {"GET /tasks", &WorkerServer::List},
       {"GET /usage", &WorkerServer::Usage}};
-  const auto what = request.method() + " " + request.relative_uri().path();
-  const auto call = calls.find(what);
+  const auto what = call.m_request.m_method + " " + call.m_request.m_path;
+  const auto operation = operations.find(what);
+  const std::lock_guard lock(m_mutex);
+  AdvanceLocked();
   // Tests set faults and read the history also while the worker is silent.
   if (what == "GET /history") {
-    const std::lock_guard lock(m_mutex);
-    AdvanceLocked();
-    http_response response(status_codes::OK);
-    response.set_body(HistoryToJson(m_sim));
-    Send(request, response);
+    Respond(call, status_codes::OK, HistoryToJson(m_sim));
   } else if (what == "POST /faults") {
-    UseBody(request, request.extract_json(true), m_gate,
-            [this, request](const pplx::task<value>& body) {
-              http_response response(status_codes::OK);
-              try {
-                const std::lock_guard lock(m_mutex);
-                AdvanceLocked();
-                response.set_body(ApplyFaults(m_sim, body.get()));
-              } catch (const std::exception& exception) {
-                response.set_status_code(status_codes::BadRequest);
-                response.set_body(exception.what());
-              }
-              m_changed.notify_all();
-              Send(request, response);
-            });
-  } else if (call != calls.end()) {
-    HandleJson(request, call->second);
+    Respond(call, status_codes::OK, ApplyFaults(m_sim, JsonOf(call)));
+    m_changed.notify_all();
+  } else if (m_sim.m_faults.m_silent) {
+    return;
+  } else if (operation != operations.end()) {
+    HandleJson(call, operation->second);
   } else if (what == "GET /events") {
-    HandlePoll(request);
+    HandlePoll(call);
   } else if (what == "POST /serve") {
-    HandleServe(request);
+    HandleServe(call);
   } else {
-    Send(request, http_response(status_codes::NotFound));
+    Respond(call, status_codes::NotFound, ErrorJson("no such route"));
   }
 }
 
-void WorkerServer::HandleJson(Request request, const Call call) {
-  const auto body = request.method() == web::http::methods::GET ? pplx::task_from_result(value())
-                                                                : request.extract_json(true);
-  UseBody(request, body, m_gate, [this, request, call](const pplx::task<value>& json) {
-    const std::lock_guard lock(m_mutex);
-    AdvanceLocked();
-    if (m_sim.m_faults.m_silent) {
-      m_unanswered.push_back(request);
-      return;
-    }
-    Answer answer;
-    try {
-      answer = (this->*call)(json.get());
-    } catch (const std::exception& exception) {
-      answer = {.m_status = status_codes::BadRequest, .m_body = ErrorJson(exception.what())};
-    }
-    ReplyLocked(request, answer);
-    AnswerPollsLocked();
-    m_changed.notify_all();
-  });
+void WorkerServer::HandleJson(const HttpCall& call, const Operation operation) {
+  Answer answer;
+  try {
+    const bool has_body = call.m_request.m_method != web::http::methods::GET;
+    answer = (this->*operation)(has_body ? JsonOf(call) : value());
+  } catch (const std::exception& exception) {
+    answer = {.m_status = status_codes::BadRequest, .m_body = ErrorJson(exception.what())};
+  }
+  ReplyLocked(call, answer);
+  AnswerPollsLocked();
+  m_changed.notify_all();
 }
 
-void WorkerServer::HandleServe(Request request) {
-  UseBody(
-      request, request.extract_string(true), m_gate,
-      [this, request](const pplx::task<std::string>& body) {
-        const auto id = request.headers().find("X-Request-Id");
-        const std::lock_guard lock(m_mutex);
-        AdvanceLocked();
-        if (m_sim.m_faults.m_silent) {
-          m_unanswered.push_back(request);
-          return;
-        }
-        const auto number = ++m_last_request;
-        if (!Serve(m_sim, number, id == request.headers().end() ? "" : id->second, body.get())) {
-          http_response refused(status_codes::ServiceUnavailable);
-          refused.headers().add("X-Not-Run", "1");
-          ReplyLocked(request, refused);
-          return;
-        }
-        m_serving.emplace(number, request);
-        AdvanceLocked();
-        m_changed.notify_all();
-      });
+void WorkerServer::HandleServe(const HttpCall& call) {
+  const auto id = call.m_request.m_headers.find("X-Request-Id");
+  const auto number = ++m_last_request;
+  if (!Serve(m_sim, number, id == call.m_request.m_headers.end() ? "" : id->second,
+             call.m_request.m_body)) {
+    if (LosesAnswerLocked()) return;
+    call.m_respond(
+        {.m_status = status_codes::ServiceUnavailable, .m_headers = {{"X-Not-Run", "1"}}}, {});
+    return;
+  }
+  m_serving.emplace(number, call);
+  AdvanceLocked();
+  m_changed.notify_all();
 }
 
-void WorkerServer::HandlePoll(const Request& request) {
-  const auto query = web::uri::split_query(request.relative_uri().query());
+void WorkerServer::HandlePoll(const HttpCall& call) {
+  const auto query = QueryOf(call);
   const auto wait = std::chrono::milliseconds{
       static_cast<std::int64_t>(std::min<std::uint64_t>(QueryNumber(query, "wait_ms"), 60'000))};
-  const std::lock_guard lock(m_mutex);
-  AdvanceLocked();
-  if (m_sim.m_faults.m_silent) {
-    m_unanswered.push_back(request);
-    return;
-  }
-  m_polls.push_back({.m_request = request,
+  m_polls.push_back({.m_call = call,
                      .m_after = QueryNumber(query, "after"),
                      .m_until = m_sim.m_now + std::min<Duration>(wait, kMaxPoll)});
   AnswerPollsLocked();
@@ -293,9 +240,10 @@
   for (auto& served : Advance(m_sim, Now())) {
     const auto found = m_serving.find(served.m_number);
     if (found == m_serving.end()) continue;
-    http_response response(served.m_failed ? status_codes::InternalError : status_codes::OK);
-    response.set_body(served.m_failed ? "the work failed" : served.m_result);
-    ReplyLocked(found->second, response);
+    if (!LosesAnswerLocked()) {
+      RespondText(found->second, served.m_failed ? status_codes::InternalError : status_codes::OK,
+                  served.m_failed ? "the work failed" : std::move(served.m_result));
+    }
     m_serving.erase(found);
   }
 }
@@ -305,7 +253,7 @@
   std::erase_if(m_polls, [this](const Poll& poll) {
     // A number from before a restart is answered at once, so that the caller notices the restart.
     if (m_sim.m_last_event == poll.m_after && m_sim.m_now < poll.m_until) return false;
-    ReplyLocked(poll.m_request, Answer{.m_body = EventsLocked(poll.m_after)});
+    ReplyLocked(poll.m_call, {.m_body = EventsLocked(poll.m_after)});
     return true;
   });
 }
@@ -324,20 +272,16 @@
   return json;
 }
 
-void WorkerServer::ReplyLocked(const Request& request, const http_response& response) {
+bool WorkerServer::LosesAnswerLocked() {
   auto& faults = m_sim.m_faults;
-  if (faults.m_silent || faults.m_lose_answers > 0) {
-    if (!faults.m_silent) --faults.m_lose_answers;
-    m_unanswered.push_back(request);
-    return;
-  }
-  Send(request, response);
+  if (faults.m_silent) return true;
+  if (faults.m_lose_answers == 0) return false;
+  --faults.m_lose_answers;
+  return true;
 }
 
-void WorkerServer::ReplyLocked(const Request& request, const Answer& answer) {
-  http_response response(answer.m_status);
-  response.set_body(answer.m_body);
-  ReplyLocked(request, response);
+void WorkerServer::ReplyLocked(const HttpCall& call, const Answer& answer) {
+  if (!LosesAnswerLocked()) Respond(call, answer.m_status, answer.m_body);
 }
 
 }  // namespace ebonypin::standin
--- a/packages/standin/src/worker/worker_server.h
+++ b/packages/standin/src/worker/worker_server.h
@@ -13,24 +13,25 @@
 ///     POST /faults             {"fail","silent","slow","lose_answers"}
 #pragma once
 
-#include <cpprest/http_listener.h>
+#include <cpprest/json.h>
 
 #include <condition_variable>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "ebonypin/platform/call_gate.h"
+#include "http_call.h"
 #include "worker_sim.h"
 
 namespace ebonypin::standin {
 
 class WorkerServer {
  public:
-  WorkerServer(const std::string& listen, SimOptions options);
+  WorkerServer(std::string listen, SimOptions options);
   ~WorkerServer();
   WorkerServer(const WorkerServer&) = delete;
   WorkerServer& operator=(const WorkerServer&) = delete;
@@ -38,23 +39,22 @@
   void Start();
 
  private:
-  using Request = web::http::http_request;
   using Json = web::json::value;
   struct Answer {
-    web::http::status_code m_status = 200;
+    unsigned m_status = 200;
     Json m_body;
   };
-  using Call = Answer (WorkerServer::*)(const Json& body);
+  using Operation = Answer (WorkerServer::*)(const Json& body);
   struct Poll {
-    Request m_request;
+    HttpCall m_call;
     std::uint64_t m_after = 0;
     Time m_until;
   };
 
-  void Handle(const Request& request);
-  void HandleJson(Request request, Call call);
-  void HandleServe(Request request);
-  void HandlePoll(const Request& request);
+  void Handle(const HttpCall& call);
+  void HandleJson(const HttpCall& call, Operation operation);
+  void HandleServe(const HttpCall& call);
+  void HandlePoll(const HttpCall& call);
   Answer Start(const Json& body);
   Answer Renew(const Json& body);
   Answer Throttle(const Json& body);
@@ -68,22 +68,22 @@
   void AdvanceLocked();
   void AnswerPollsLocked();
   Json EventsLocked(std::uint64_t after) const;
-  /// Sends the answer, or keeps the call unanswered when a fault says so.
-  void ReplyLocked(const Request& request, const web::http::http_response& response);
-  void ReplyLocked(const Request& request, const Answer& answer);
+  /// Returns whether a fault says that the next answer is not sent.
+  bool LosesAnswerLocked();
+  void ReplyLocked(const HttpCall& call, const Answer& answer);
 
-  const std::shared_ptr<platform::CallGate> m_gate = std::make_shared<platform::CallGate>();
-  web::http::experimental::listener::http_listener m_listener;
+  const std::string m_listen;
   const std::uint64_t m_boot;
   std::mutex m_mutex;
   std::condition_variable m_changed;
   WorkerSim m_sim;
-  std::map<std::uint64_t, Request> m_serving;
+  std::map<std::uint64_t, HttpCall> m_serving;
   std::uint64_t m_last_request = 0;
   std::vector<Poll> m_polls;
-  std::vector<Request> m_unanswered;  ///< Kept open, as a silent process would.
   bool m_stopping = false;
   std::thread m_thread;
+  /// Last, so that it stops before what its handler uses.
+  std::unique_ptr<http::Server> m_server;
 };
 
 }  // namespace ebonypin::standin
--- a/packages/standin/tests/worker_client_test.cc
+++ b/packages/standin/tests/worker_client_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(EndpointTellsNotRunFromFailed);
   CPPUNIT_TEST(SilentConnectionEndsAtTheDeadlineAndIsReplaced);
   CPPUNIT_TEST(CallsBeyondTheConnectionsAreNotSent);
+  CPPUNIT_TEST(AServerStopsWhileItAnswersCalls);
   CPPUNIT_TEST_SUITE_END();
 
   std::string m_address;
@@ -187,6 +188,25 @@
     CPPUNIT_ASSERT(third.m_error->m_kind == core::ErrorKind::kNoCapacity);
     for (auto& promise : held) promise.get_future().wait();
   }
+
+  /// Guards against the crash of a whole test program when a stand-in is destroyed while it answers
+  /// long polls.
+  void AServerStopsWhileItAnswersCalls() {
+    constexpr int kStops = 300;
+    constexpr std::uint32_t kPolls = 16;
+    m_server = nullptr;
+    for (int i = 0; i < kStops; ++i) {
+      WorkerServer server(m_address, {});
+      server.Start();
+      const auto worker = platform::MakeHttpWorker(
+          {.m_url = "http://" + m_address, .m_deadline = 10s, .m_max_connections = kPolls + 1});
+      for (std::uint32_t poll = 0; poll < kPolls; ++poll) {
+        worker->PollEvents(0, 10s, [](const core::Captured<platform::WorkerEvents>&) {});
+      }
+      // The polls that were sent before have mostly arrived when this call is answered.
+      CPPUNIT_ASSERT(Await<platform::WorkerTasks>([&](auto done) { worker->List(done); }).Ok());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerClientTest);
