Share the seeds and the play loop of the soaks

SeedRange, the reading of its environment variable and the loop that plays sites beside each other stood in three soaks. They are in seed_plays.h now.

--- a/packages/daemon/scenarios/cancel_soak_test.cc
+++ b/packages/daemon/scenarios/cancel_soak_test.cc
@@ -10,12 +10,12 @@
 #include <filesystem>
 #include <iostream>
 #include <memory>
-#include <sstream>
 #include <thread>
 #include <vector>
 
 #include "cancel_play.h"
 #include "client_load.h"
+#include "seed_plays.h"
 
 namespace ebonypin::daemon {
 namespace {
@@ -24,27 +24,13 @@
 constexpr std::size_t kAgents = 3;
 /// Plays beside each other, of six processes each; they wait for most of their time.
 constexpr std::uint64_t kPlaysAtOnce = 3;
+constexpr SeedRange kDefaultSeeds{.m_first = 1, .m_last = 2};
 const std::string kJob = "0123456789abcdef";
 /// More peers than an entry of the site has, and fewer than silent connections are opened.
 constexpr auto kFewRpcConnections = "[limits]\nrpc_connections = 16\n";
 constexpr std::size_t kSilentConnections = 40;
 constexpr std::chrono::milliseconds kSilentTime{500};
 
-struct SeedRange {
-  std::uint64_t m_first = 1;
-  std::uint64_t m_last = 2;
-};
-
-SeedRange Seeds() {
-  SeedRange seeds;
-  if (const char* const text = std::getenv("EBONYPIN_CANCEL_SEEDS")) {
-    std::istringstream words(text);
-    char dash = 0;
-    words >> seeds.m_first >> dash >> seeds.m_last;
-  }
-  return seeds;
-}
-
 ObservedCall CallOf(const CallKind kind, const std::int64_t sent, const int status) {
   return {
       .m_kind = kind, .m_job = kJob, .m_sent = sent, .m_answered = sent + 1000, .m_status = status};
@@ -152,26 +138,19 @@
  public:
   /// Guards against answers that a superseded coordinator gives from memory: a cancel is
   /// acknowledged and the job runs on, and accepted jobs are unknown or refused.
-  void NoJobRunsOnAfterItsCancelBesideDisruptions() { PlaySeeds(false); }
+  void NoJobRunsOnAfterItsCancelBesideDisruptions() { PlaySoak(false); }
 
   /// Guards against answers that are wrong when calls between the processes lose their connections
   /// to those of strangers, besides the disruptions.
-  void NoJobRunsOnAfterItsCancelBesideSilentConnections() { PlaySeeds(true); }
+  void NoJobRunsOnAfterItsCancelBesideSilentConnections() { PlaySoak(true); }
 
  private:
-  static void PlaySeeds(const bool with_silent_clients) {
-    const auto seeds = Seeds();
-    std::string faults;
-    for (auto first = seeds.m_first; first <= seeds.m_last; first += kPlaysAtOnce) {
-      std::vector<std::unique_ptr<SeedPlay>> plays;
-      // Sites are created one after the other, since the stand-ins take their options from flags.
-      for (auto seed = first; seed <= seeds.m_last && seed < first + kPlaysAtOnce; ++seed) {
-        plays.push_back(std::make_unique<SeedPlay>(seed, with_silent_clients));
-      }
-      for (auto& play : plays) play->Start();
-      for (auto& play : plays) faults += play->Finish();
-    }
-    CPPUNIT_ASSERT_EQUAL(std::string{}, faults);
+  static void PlaySoak(const bool with_silent_clients) {
+    CPPUNIT_ASSERT_EQUAL(std::string{},
+                         PlaySeeds(SeedsFrom("EBONYPIN_CANCEL_SEEDS", kDefaultSeeds), kPlaysAtOnce,
+                                   [with_silent_clients](const std::uint64_t seed) {
+                                     return std::make_unique<SeedPlay>(seed, with_silent_clients);
+                                   }));
   }
 
   /// Play on a thread and a site of its own.
--- a/packages/daemon/scenarios/island_test.cc
+++ b/packages/daemon/scenarios/island_test.cc
@@ -8,11 +8,11 @@
 #include <filesystem>
 #include <iostream>
 #include <memory>
-#include <sstream>
 #include <thread>
 #include <vector>
 
 #include "island_play.h"
+#include "seed_plays.h"
 
 namespace ebonypin::daemon {
 namespace {
@@ -21,21 +21,7 @@
 constexpr std::size_t kAgents = 4;
 /// Plays beside each other, of eight processes each; they wait for most of their time.
 constexpr std::uint64_t kPlaysAtOnce = 3;
-
-struct SeedRange {
-  std::uint64_t m_first = 1;
-  std::uint64_t m_last = 3;
-};
-
-SeedRange Seeds() {
-  SeedRange seeds;
-  if (const char* const text = std::getenv("EBONYPIN_ISLAND_SEEDS")) {
-    std::istringstream words(text);
-    char dash = 0;
-    words >> seeds.m_first >> dash >> seeds.m_last;
-  }
-  return seeds;
-}
+constexpr SeedRange kDefaultSeeds{.m_first = 1, .m_last = 3};
 
 ObservedRun RunOf(const std::uint64_t run, const std::int64_t started, const std::int64_t ended,
                   const std::string& how, const bool acknowledged = false) {
@@ -93,18 +79,10 @@
   /// Guards against a new coordinator that starts tasks while a coordinator before its predecessor,
   /// which is cut off with some agents, still grants leases to them.
   void NoTaskRunsTwiceBesideTwoChangesOfCoordinator() {
-    const auto seeds = Seeds();
-    std::string faults;
-    for (auto first = seeds.m_first; first <= seeds.m_last; first += kPlaysAtOnce) {
-      std::vector<std::unique_ptr<PlayResult>> results;
-      // Sites are created one after the other, since the stand-ins take their options from flags.
-      for (auto seed = first; seed <= seeds.m_last && seed < first + kPlaysAtOnce; ++seed) {
-        results.push_back(std::make_unique<PlayResult>(seed));
-      }
-      for (auto& result : results) result->Start();
-      for (auto& result : results) faults += result->Finish();
-    }
-    CPPUNIT_ASSERT_EQUAL(std::string{}, faults);
+    CPPUNIT_ASSERT_EQUAL(std::string{}, PlaySeeds(SeedsFrom("EBONYPIN_ISLAND_SEEDS", kDefaultSeeds),
+                                                  kPlaysAtOnce, [](const std::uint64_t seed) {
+                                                    return std::make_unique<PlayResult>(seed);
+                                                  }));
   }
 
  private:
--- a/packages/daemon/scenarios/large_job_soak_test.cc
+++ b/packages/daemon/scenarios/large_job_soak_test.cc
@@ -8,17 +8,16 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <memory>
-#include <sstream>
 #include <thread>
 #include <vector>
 
 #include "cancel_play.h"
 #include "disruptor.h"
 #include "process_site.h"
+#include "seed_plays.h"
 
 namespace ebonypin::daemon {
 namespace {
@@ -30,6 +29,7 @@
 constexpr std::size_t kAgents = 3;
 /// Plays beside each other, of six processes each.
 constexpr std::uint64_t kPlaysAtOnce = 2;
+constexpr SeedRange kDefaultSeeds{.m_first = 1, .m_last = 2};
 /// Limits at which the progress of one job needs many records, and several appends.
 constexpr auto kStoreLimits = R"({"record_bytes":16384,"append_bytes":20000})";
 constexpr auto kEntryLimits = "record_bytes = 16384\nappend_bytes = 20000\n";
@@ -44,21 +44,6 @@
 /// Longer than the longest wait after a takeover, 15.6 s, and the tasks after it.
 constexpr auto kEndLimit = 60s;
 
-struct SeedRange {
-  std::uint64_t m_first = 1;
-  std::uint64_t m_last = 2;
-};
-
-SeedRange Seeds() {
-  SeedRange seeds;
-  if (const char* const text = std::getenv("EBONYPIN_LARGE_JOB_SEEDS")) {
-    std::istringstream words(text);
-    char dash = 0;
-    words >> seeds.m_first >> dash >> seeds.m_last;
-  }
-  return seeds;
-}
-
 /// Large job of a play. Each second one is cancelled while it runs.
 struct LargeJob {
   std::string m_path;
@@ -186,18 +171,10 @@
   /// Guards against tasks that run twice, jobs that do not end and appends that the store refuses,
   /// when a coordinator ends between the appends of one job's progress.
   void LargeJobsEndOnceBesideDisruptions() {
-    const auto seeds = Seeds();
-    std::string faults;
-    for (auto first = seeds.m_first; first <= seeds.m_last; first += kPlaysAtOnce) {
-      std::vector<std::unique_ptr<LargeJobPlay>> plays;
-      // Sites are created one after the other, since the stand-ins take their options from flags.
-      for (auto seed = first; seed <= seeds.m_last && seed < first + kPlaysAtOnce; ++seed) {
-        plays.push_back(std::make_unique<LargeJobPlay>(seed));
-      }
-      for (auto& play : plays) play->Start();
-      for (auto& play : plays) faults += play->Finish();
-    }
-    CPPUNIT_ASSERT_EQUAL(std::string{}, faults);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string{},
+        PlaySeeds(SeedsFrom("EBONYPIN_LARGE_JOB_SEEDS", kDefaultSeeds), kPlaysAtOnce,
+                  [](const std::uint64_t seed) { return std::make_unique<LargeJobPlay>(seed); }));
   }
 };
 
