Split the worker agent and the restore of jobs

The calls about runs, the shares of filling runs and the reports of a worker agent are files of their own now, and so is the restore of jobs. Functions are moved without a change; Finish, which two files call, is named FinishTask.

--- a/packages/core/src/fleet/coordinator_internal.h
+++ b/packages/core/src/fleet/coordinator_internal.h
@@ -109,6 +109,9 @@
 /// Lets part 0 of the job's progress be written, which describes the job as a whole.
 void MarkUnwritten(Coordinator& state, Job& job);
 
+/// Sets the task to done, and closes the occurrence and the job if that completes them.
+void FinishTask(Coordinator& state, Job& job, const TaskRef& ref, Task& task);
+
 /// Finishes gangs that an earlier coordinator has recorded as done in part: the end of one member
 /// counts for all members.
 void CompleteGangs(Coordinator& state);
--- a/packages/core/src/fleet/coordinator_jobs.cc
+++ b/packages/core/src/fleet/coordinator_jobs.cc
@@ -2,7 +2,6 @@
 #include <utility>
 
 #include "coordinator_internal.h"
-#include "ebonypin/core/fleet/queue_table.h"
 
 namespace ebonypin::core::fleet {
 namespace {
@@ -114,24 +113,6 @@
           " ms");
 }
 
-/// Sets the task to done, and closes the occurrence and the job if that completes them.
-void Finish(Coordinator& state, Job& job, const TaskRef& ref, Task& task) {
-  if (task.m_phase == TaskPhase::kPlaced) {
-    // Another run of the task succeeded. The current run takes up room until its agent, once it has
-    // taken the orders about it, no longer lists it.
-    OrderStop(state, ref, task, "another run of the task is done");
-    Agent& agent = state.m_agents.at(task.m_agent);
-    AddStray(state, agent, ref, agent.m_next_order - 1);
-    RemovePlacedRun(state, ref, task);
-  }
-  task.m_phase = TaskPhase::kDone;
-  task.m_checkpoint.clear();
-  Occurrence& occurrence = job.m_occurrences.at(ref.m_occurrence);
-  StepState& step = occurrence.m_steps[ref.m_step];
-  if (--step.m_left > 0) return;
-  if (--occurrence.m_steps_left == 0) CloseOccurrence(state, job, ref.m_occurrence);
-}
-
 /// Finishes all tasks of the gang of `ref`: the end of one member counts for all members of the
 /// run.
 void FinishGang(Coordinator& state, Job& job, const TaskRef& ref, const RunNumber run) {
@@ -144,7 +125,7 @@
     if (task == nullptr || task->m_phase == TaskPhase::kDone) continue;
     task->m_run = std::max(task->m_run, run);
     MarkUnwritten(state, job, member);
-    Finish(state, job, member, *task);
+    FinishTask(state, job, member, *task);
   }
 }
 
@@ -170,51 +151,6 @@
   task.m_waits_since = now;
 }
 
-/// Restores what part 0 says about the job as a whole.
-void RestoreJob(Coordinator& state, Job& job, const JobProgress& progress) {
-  job.m_cancelled = progress.m_cancelled;
-  if (progress.m_closed) {
-    job.m_closed = true;
-    state.m_open_jobs.erase(progress.m_job);
-    job.m_closed_at = progress.m_closed_at;
-    job.m_phase = job.m_recorded_phase = progress.m_phase;
-    job.m_occurrences.clear();
-    return;
-  }
-  const std::uint32_t total = std::max(job.m_spec.m_times, 1U);
-  for (const auto number : progress.m_closed_occurrences) {
-    if (number >= total) continue;
-    job.m_occurrences.erase(number);
-    job.m_closed_occurrences.insert(number);
-  }
-}
-
-/// Restores a task from a record of `part`. Coordinators of earlier versions write all tasks into
-/// part 0, so a task may be found in two records; the one with the later run is newer.
-void RestoreTask(Coordinator& state, Job& job, const std::uint32_t part, TaskProgress& stored) {
-  if (stored.m_occurrence >= std::max(job.m_spec.m_times, 1U)) return;
-  OpenOccurrence(job, stored.m_occurrence);
-  const TaskRef ref{.m_job = job.m_spec.m_id,
-                    .m_occurrence = stored.m_occurrence,
-                    .m_step = stored.m_step,
-                    .m_index = stored.m_index};
-  Task* const task = FindTask(state, ref);
-  if (task == nullptr || task->m_phase == TaskPhase::kDone) return;
-  const bool older = !stored.m_done && stored.m_run < task->m_recorded_run;
-  if (older) return;
-  if (PartOf(job.m_spec, ref) != part) {
-    // The task moves from part 0, which is written without it, to its own part.
-    MarkUnwritten(state, job, ref);
-    MarkUnwritten(state, job);
-  }
-  task->m_run = task->m_recorded_run = std::max(task->m_recorded_run, stored.m_run);
-  task->m_failures = std::max(task->m_failures, stored.m_failures);
-  task->m_checkpoint = std::move(stored.m_checkpoint);
-  task->m_crashes = std::move(stored.m_crashes);
-  task->m_suspect = !task->m_crashes.empty();
-  if (stored.m_done) Finish(state, job, ref, *task);
-}
-
 }  // namespace
 
 Job* FindJob(Coordinator& state, const JobId& job) noexcept {
@@ -248,6 +184,23 @@
   state.m_unwritten_progress.insert(job.m_spec.m_id);
 }
 
+void FinishTask(Coordinator& state, Job& job, const TaskRef& ref, Task& task) {
+  if (task.m_phase == TaskPhase::kPlaced) {
+    // Another run of the task succeeded. The current run takes up room until its agent, once it has
+    // taken the orders about it, no longer lists it.
+    OrderStop(state, ref, task, "another run of the task is done");
+    Agent& agent = state.m_agents.at(task.m_agent);
+    AddStray(state, agent, ref, agent.m_next_order - 1);
+    RemovePlacedRun(state, ref, task);
+  }
+  task.m_phase = TaskPhase::kDone;
+  task.m_checkpoint.clear();
+  Occurrence& occurrence = job.m_occurrences.at(ref.m_occurrence);
+  StepState& step = occurrence.m_steps[ref.m_step];
+  if (--step.m_left > 0) return;
+  if (--occurrence.m_steps_left == 0) CloseOccurrence(state, job, ref.m_occurrence);
+}
+
 void OpenOccurrence(Job& job, const std::uint32_t number) {
   if (job.m_closed_occurrences.count(number) > 0) return;
   auto& occurrence = job.m_occurrences[number];
@@ -341,7 +294,7 @@
       if (spec.m_gang) {
         FinishGang(state, *job, end.m_task, end.m_run);
       } else {
-        Finish(state, *job, end.m_task, *task);
+        FinishTask(state, *job, end.m_task, *task);
       }
       if (job->m_closed) LogJobDone(state, now, *job);
       return;
@@ -448,45 +401,4 @@
   return StateOf(job);
 }
 
-void Restore(Coordinator& state, const Time now, JobSpec job) {
-  if (const auto error = CheckSteps(job); !error.empty()) {
-    return LogFailure(state, "stored job ignored", {.m_job = job.m_id}, 0, {}, error);
-  }
-  auto& restored = state.m_jobs[job.m_id];
-  restored.m_spec = std::move(job);
-  restored.m_accepted = restored.m_last_ran = now;
-  restored.m_recorded = true;
-  restored.m_inherited = true;
-  ComputeChains(restored);
-  state.m_open_jobs.insert(restored.m_spec.m_id);
-  if (restored.m_spec.m_times == 0) {
-    OpenOccurrence(restored, 0);
-    restored.m_next_occurrence = 1;
-  }
-}
-
-void Restore(Coordinator& state, JobProgress progress) {
-  Job* job = FindJob(state, progress.m_job);
-  const bool leftover = job == nullptr ? !progress.m_cancelled || progress.m_part > 0
-                                       : job->m_closed && progress.m_part > 0;
-  if (leftover) {
-    // Progress without a submission, and parts of a closed job, remain from a removal that was not
-    // completed.
-    return state.m_removed_keys.push_back(ProgressKey(progress.m_job, progress.m_part));
-  }
-  if (job == nullptr) {
-    job = &state.m_jobs[progress.m_job];
-    job->m_spec.m_id = progress.m_job;
-    job->m_submitted = false;
-  }
-  job->m_begun = job->m_begun || progress.m_begun;
-  if (progress.m_part == 0) {
-    RestoreJob(state, *job, progress);
-  } else {
-    job->m_stored_parts.insert(progress.m_part);
-  }
-  if (job->m_closed) return;
-  for (auto& stored : progress.m_tasks) RestoreTask(state, *job, progress.m_part, stored);
-}
-
 }  // namespace ebonypin::core::fleet
--- a/packages/core/src/fleet/worker_agent.cc
+++ b/packages/core/src/fleet/worker_agent.cc
@@ -1,17 +1,13 @@
 #include "ebonypin/core/fleet/worker_agent.h"
 
 #include <algorithm>
-#include <iterator>
-#include <tuple>
 #include <utility>
 
+#include "worker_agent_internal.h"
+
 namespace ebonypin::core::fleet {
 namespace {
 
-/// Step by which the fence is raised. Fences start from the clock, and the step is larger than the
-/// difference of clocks within a second.
-constexpr std::uint64_t kFenceStep = std::uint64_t{10'000} << 10U;
-
 /// Adds the runs that were, or may have been, at work when the worker crashed at `crashed`.
 void AddCrashedRuns(WorkerAgent& agent, const std::map<TaskRef, LocalRun>& runs,
                     const Time crashed) {
@@ -58,31 +54,17 @@
   agent.m_report_due = true;
 }
 
-/// Takes account of leases that are as long as the worker accepts.
-void ExpectLongestLease(WorkerAgent& agent, const Time now) {
-  const auto bound = now +
-                     std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error *
-                                                          agent.m_options.m_longest_lease) +
-                     agent.m_options.m_lease_slack;
-  agent.m_leased_until = std::max(agent.m_leased_until, bound);
-}
-
 Duration LeaseAt(const WorkerAgent& agent, const Time now) noexcept {
   return std::min(agent.m_options.m_lease, agent.m_granted_until - now);
 }
 
-/// Returns a deadline in ms on the worker's clock for a lease that is given now, or zero when there
-/// is no grant or the clock is not known.
-std::int64_t GiveLease(WorkerAgent& agent, const Time now) {
-  const Duration lease = LeaseAt(agent, now);
-  if (lease <= Duration{} || agent.m_clock_at == Time{}) return 0;
+/// Takes account of leases that are as long as the worker accepts.
+void ExpectLongestLease(WorkerAgent& agent, const Time now) {
   const auto bound = now +
-                     std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error * lease) +
+                     std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error *
+                                                          agent.m_options.m_longest_lease) +
                      agent.m_options.m_lease_slack;
   agent.m_leased_until = std::max(agent.m_leased_until, bound);
-  // The last reading stands for the worker's clock. Adding the time since then would overshoot
-  // after a suspension of the machine, which the agent's clock counts and the worker's need not.
-  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
 void ApplyStart(WorkerAgent& agent, const Time now, const StartOrder& order) {
@@ -130,120 +112,6 @@
   run.m_next_call = now;
 }
 
-/// Gives up the starts that the worker has not confirmed when their session or its grant has ended.
-/// The coordinator takes these runs for ended and starts their tasks elsewhere, so a later grant
-/// must not start them. A session without a grant of its own takes starts on the rest of the former
-/// grant, so these too are given up when that has ended.
-void GiveUpStarts(WorkerAgent& agent, const Time now) {
-  std::vector<StartOrder> pending;
-  for (const auto& [task, run] : agent.m_runs) {
-    if (run.m_stage == RunStage::kStarting) pending.push_back(run.m_order);
-  }
-  for (const auto& order : pending) ApplyStop(agent, now, order);
-}
-
-[[nodiscard]] bool HasGrantEnded(const WorkerAgent& agent, const Time now) noexcept {
-  return agent.m_session_granted && now >= agent.m_granted_until;
-}
-
-/// Returns `cpu_millis` as a share of the worker's processors.
-double ShareOf(const WorkerAgent& agent, const double cpu_millis) noexcept {
-  const auto capacity = std::max<std::int64_t>(agent.m_worker.m_capacity.m_cpu_millis, 1);
-  return cpu_millis / static_cast<double>(capacity);
-}
-
-/// Returns the current load of each filling image.
-std::vector<FillingLoad> FillingLoads(const WorkerAgent& agent) {
-  std::map<ImageName, double> shares;
-  for (const auto& [task, run] : agent.m_runs) {
-    if (run.m_order.m_fills) shares[run.m_order.m_image] += ShareOf(agent, run.m_figure);
-  }
-  return LoadRanges(shares, shares);
-}
-
-/// Updates the processors that filling runs use at their full share.
-void UpdateFullCpu(WorkerAgent& agent, const Time now) {
-  for (auto& [task, run] : agent.m_runs) {
-    if (!run.m_order.m_fills || run.m_paced == 0 || run.m_figure <= 0.0) continue;
-    if (now - run.m_paced_changed < agent.m_options.m_usage_settle_time) continue;
-    run.m_full_cpu = run.m_figure * 100.0 / run.m_paced;
-  }
-}
-
-/// Updates the own loads of the serving runs from their latencies.
-void UpdateOwnLoads(WorkerAgent& agent, const Time now) {
-  const Duration elapsed = now - agent.m_own_loads_updated;
-  if (elapsed < agent.m_options.m_own_load_interval) return;
-  agent.m_own_loads_updated = now;
-  const auto filling = FillingLoads(agent);
-  for (auto& [task, run] : agent.m_runs) {
-    if (run.m_order.m_latency_target <= Duration{} || run.m_figure <= 0.0) continue;
-    const auto& image = run.m_order.m_image;
-    ObserveLatency(agent.m_pairs, image, run.m_figure);
-    if (run.m_percent < 100) continue;
-    TrackOwnLoad(run.m_own_load, agent.m_pairs, image, run.m_figure,
-                 PredictedGrowth(agent.m_pairs, image, filling, now), elapsed);
-  }
-}
-
-/// Returns the processors, in thousandths, that the run uses at its full share.
-double FullCpu(const LocalRun& run) noexcept {
-  constexpr double kDefaultCpuMillis = 1000.0;  // Usual size of a task.
-  const auto declared = static_cast<double>(run.m_order.m_cpu_millis);
-  const double cpu = std::max(run.m_full_cpu > 0.0 ? run.m_full_cpu : declared, run.m_figure);
-  return cpu > 0.0 ? cpu : kDefaultCpuMillis;
-}
-
-/// Returns whether the run may be the cause of a missed target.
-bool IsSuspect(const WorkerAgent& agent, const FillingRun& run,
-               const std::vector<ServingLoad>& serving, const Time now) {
-  return std::any_of(serving.begin(), serving.end(), [&](const ServingLoad& task) {
-    return run.m_load * GrowthWhenFull(agent.m_pairs, task.m_image, run.m_image, now) >=
-           agent.m_options.m_pacing.m_min_suspect_growth;
-  });
-}
-
-/// Decides the share of each filling run from the latencies of the serving runs.
-void UpdatePace(WorkerAgent& agent, const Time now) {
-  UpdateOwnLoads(agent, now);
-  UpdateFullCpu(agent, now);
-  std::vector<ServingLoad> serving;
-  double worst = 0.0;
-  std::vector<LocalRun*> filling;
-  for (auto& [task, run] : agent.m_runs) {
-    if (run.m_order.m_fills) filling.push_back(&run);
-    const double target = ToMillis(run.m_order.m_latency_target);
-    if (target <= 0.0 || run.m_figure <= 0.0) continue;
-    serving.push_back({.m_image = run.m_order.m_image,
-                       .m_load = ForecastLoad(run.m_own_load, agent.m_options.m_pace_ahead),
-                       .m_target_ms = target});
-    worst = std::max(worst, run.m_figure / target);
-  }
-  agent.m_worst_ratio = worst;
-  if (worst < 1.0) {
-    agent.m_missed_since = {};
-  } else if (agent.m_missed_since == Time{}) {
-    agent.m_missed_since = now;
-  }
-  std::sort(filling.begin(), filling.end(),
-            [](const LocalRun* a, const LocalRun* b) { return a->m_arrival < b->m_arrival; });
-  std::vector<FillingRun> runs;
-  runs.reserve(filling.size());
-  for (const auto* run : filling) {
-    runs.push_back({.m_image = run->m_order.m_image, .m_load = ShareOf(agent, FullCpu(*run))});
-  }
-  const auto shares = AllowedShares(agent.m_pairs, serving, runs, now, agent.m_options.m_pacing);
-  const auto& options = agent.m_options.m_pacing;
-  const bool rest_all = MustRestAll(agent.m_missed_since, now, options);
-  const bool rest_suspects = MustRestSuspects(agent.m_missed_since, now, options);
-  for (std::size_t i = 0; i < filling.size(); ++i) {
-    // Rounded to steps of 10 %, so that small changes of the estimates cause no calls.
-    const auto percent = static_cast<std::uint32_t>(shares[i] * 100.0);
-    const bool rests = rest_all || (rest_suspects && IsSuspect(agent, runs[i], serving, now));
-    filling[i]->m_allowed = rests ? 0 : std::min(100U, (percent + 5) / 10 * 10);
-  }
-}
-
 /// Begins to track a run that the agent does not hold: it was started by an earlier agent, or by a
 /// start call that was regarded as refused.
 LocalRun MakeListedRun(WorkerAgent& agent, const ListedRun& run) {
@@ -329,204 +197,28 @@
   }
 }
 
-void OnStartAnswer(WorkerAgent& agent, const Time now, LocalRun& run, const RunAnswer answer) {
-  const auto give_up = [&] {
-    agent.m_report_due = true;
-    if (run.m_maybe_sent) {
-      run.m_stage = RunStage::kStopping;
-      run.m_next_call = now;
-      return;
-    }
-    const TaskRef task = run.m_order.m_task;
-    agent.m_runs.erase(task);
-  };
-  switch (answer) {
-    case RunAnswer::kOk:
-      if (run.m_stage == RunStage::kStarting) {
-        run.m_stage = RunStage::kRunning;
-        run.m_paced_changed = now;
-      }
-      run.m_confirmed = now;
-      return;
-    case RunAnswer::kNoAnswer:
-      run.m_maybe_sent = true;
-      [[fallthrough]];
-    case RunAnswer::kLate:
-    case RunAnswer::kFenced:
-    case RunAnswer::kNotSent:
-      if (run.m_stage != RunStage::kStarting) return;
-      if (!run.m_maybe_sent) run.m_started = {};
-      if (++run.m_tries >= agent.m_options.m_start_tries) return give_up();
-      run.m_next_call = now + agent.m_options.m_call_retry;
-      return;
-    case RunAnswer::kRefused:
-    case RunAnswer::kBusy:
-    case RunAnswer::kOtherWorker:
-      return give_up();
-  }
-}
-
-/// Handles the answer to a stop of a run that the agent did not hold. Returns false when there is
-/// no such stop.
-bool OnUnheldStopAnswer(WorkerAgent& agent, const Time now, const RunCall& call,
-                        const RunAnswer answer) {
-  const auto found = agent.m_unheld_stops.find(call.m_order.m_task);
-  if (found == agent.m_unheld_stops.end()) return false;
-  auto& stop = found->second;
-  if (stop.m_run != call.m_order.m_run || !stop.m_in_flight) return false;
-  const bool settled = answer == RunAnswer::kOk || answer == RunAnswer::kRefused ||
-                       answer == RunAnswer::kOtherWorker;
-  if (settled) {
-    agent.m_unheld_stops.erase(found);
-  } else {
-    stop.m_in_flight = false;
-    stop.m_next_call = now + agent.m_options.m_call_retry;
-  }
-  return true;
-}
-
-void OnStopAnswer(WorkerAgent& agent, const Time now, LocalRun& run, const RunAnswer answer) {
-  if (answer == RunAnswer::kOk) {
-    run.m_stopped = true;
-    run.m_confirmed = now;
-    run.m_next_call = now + agent.m_options.m_stop_retry;
-    return;
-  }
-  run.m_next_call = now + agent.m_options.m_call_retry;
-}
-
-/// Returns the start or pace call about `run` that is due at `now`, if any.
-std::optional<RunCall> MakeCall(WorkerAgent& agent, const Time now, LocalRun& run) {
-  RunCall call{.m_order = run.m_order};
-  switch (run.m_stage) {
-    case RunStage::kStarting:
-      if (!agent.m_worker.m_reachable) return std::nullopt;
-      call.m_deadline_ms = GiveLease(agent, now);
-      if (call.m_deadline_ms == 0) return std::nullopt;
-      if (run.m_started == Time{}) run.m_started = now;
-      return call;
-    case RunStage::kStopping:
-      return std::nullopt;  // See AddStops.
-    case RunStage::kRunning: {
-      const auto wanted = run.m_allowed;
-      const bool unsure = wanted < 100 || run.m_paced < 100 || now < run.m_pace_uncertain_until;
-      const bool repeat = unsure && run.m_paced_at != Time{} &&
-                          now - run.m_paced_at >= agent.m_options.m_pace_repeat;
-      if (!run.m_order.m_fills || (run.m_paced == wanted && !repeat)) return std::nullopt;
-      call.m_kind = RunCallKind::kPace;
-      call.m_percent = wanted;
-      return call;
-    }
-  }
-  return std::nullopt;
-}
-
-/// Number of calls that may begin now.
-struct CallRoom {
-  std::size_t m_stops = 0;
-  std::size_t m_others = 0;  ///< Starts and pace calls.
-};
-
-CallRoom RoomForCalls(const WorkerAgent& agent) {
-  const auto& options = agent.m_options;
-  const auto is_in_flight = [](const auto& entry) { return entry.second.m_in_flight; };
-  std::size_t stops = static_cast<std::size_t>(
-      std::count_if(agent.m_unheld_stops.begin(), agent.m_unheld_stops.end(), is_in_flight));
-  std::size_t others = 0;
-  for (const auto& [task, run] : agent.m_runs) {
-    if (!run.m_in_flight) continue;
-    // A start in flight whose run is ordered to stop counts as a stop.
-    ++(run.m_stage == RunStage::kStopping ? stops : others);
-  }
-  const auto max_stops =
-      agent.m_worker.m_reachable ? options.m_max_stops : options.m_max_stops_unanswered;
-  const auto left = [](const std::size_t limit, const std::size_t used) {
-    return limit - std::min(limit, used);
-  };
-  const auto total = left(options.m_max_stops + options.m_max_calls, stops + others);
-  CallRoom room{.m_stops = std::min(left(max_stops, stops), total)};
-  room.m_others = std::min(left(options.m_max_calls, others), total - room.m_stops);
-  return room;
-}
-
-/// Adds the stops that are due, those that have waited longest first.
-void AddStops(WorkerAgent& agent, const Time now, const std::size_t room,
-              std::vector<RunCall>& calls) {
-  if (room == 0) return;
-  struct DueStop {
-    Time m_due;
-    const TaskRef* m_task = nullptr;
-    RunNumber m_run = 0;
-    bool* m_in_flight = nullptr;
-  };
-  std::vector<DueStop> due;
-  const auto add = [&](const Time since, const TaskRef& task, const RunNumber run,
-                       bool& in_flight) {
-    if (in_flight || now < since) return;
-    due.push_back({.m_due = since, .m_task = &task, .m_run = run, .m_in_flight = &in_flight});
-  };
-  for (auto& [task, stop] : agent.m_unheld_stops) {
-    add(stop.m_next_call, task, stop.m_run, stop.m_in_flight);
-  }
-  for (auto& [task, run] : agent.m_runs) {
-    if (run.m_stage != RunStage::kStopping) continue;
-    add(run.m_next_call, task, run.m_order.m_run, run.m_in_flight);
-  }
-  const auto count = std::min(room, due.size());
-  std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(count), due.end(),
-                    [](const DueStop& a, const DueStop& b) {
-                      return std::tie(a.m_due, *a.m_task) < std::tie(b.m_due, *b.m_task);
-                    });
-  for (std::size_t i = 0; i < count; ++i) {
-    *due[i].m_in_flight = true;
-    calls.push_back({.m_kind = RunCallKind::kStop,
-                     .m_order = {.m_task = *due[i].m_task, .m_run = due[i].m_run}});
-  }
-}
+}  // namespace
 
-/// Adds the ends to the report, in their order, as many as its states leave room for. Returns the
-/// bytes of their states.
-std::size_t AddEnds(WorkerAgent& agent, AgentReport& report) {
-  std::size_t bytes = 0;
-  for (const auto& end : agent.m_ends) {
-    bytes += end.m_checkpoint.size();
-    if (bytes > agent.m_options.m_max_report_states) break;
-    report.m_ends.push_back(end);
-  }
-  agent.m_ends_left_out = report.m_ends.size() < agent.m_ends.size();
-  // Without all ends, a run that is not listed may have ended.
-  if (agent.m_ends_left_out) report.m_ends_complete = false;
-  return bytes;
+std::int64_t GiveLease(WorkerAgent& agent, const Time now) {
+  const Duration lease = LeaseAt(agent, now);
+  if (lease <= Duration{} || agent.m_clock_at == Time{}) return 0;
+  const auto bound = now +
+                     std::chrono::duration_cast<Duration>(agent.m_options.m_clock_error * lease) +
+                     agent.m_options.m_lease_slack;
+  agent.m_leased_until = std::max(agent.m_leased_until, bound);
+  // The last reading stands for the worker's clock. Adding the time since then would overshoot
+  // after a suspension of the machine, which the agent's clock counts and the worker's need not.
+  return agent.m_clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
-/// Adds the runs to the report. States for which there is no room come first in the next report;
-/// until then the coordinator keeps those that it knows.
-void AddRuns(WorkerAgent& agent, AgentReport& report, std::size_t bytes) {
-  const auto limit = agent.m_options.m_max_report_states;
+void GiveUpStarts(WorkerAgent& agent, const Time now) {
+  std::vector<StartOrder> pending;
   for (const auto& [task, run] : agent.m_runs) {
-    report.m_runs.push_back({.m_task = task,
-                             .m_run = run.m_order.m_run,
-                             .m_percent = run.m_percent,
-                             .m_figure = run.m_figure,
-                             .m_order_known = run.m_order_known});
-  }
-  const auto count = report.m_runs.size();
-  const auto first =
-      std::distance(agent.m_runs.begin(), agent.m_runs.lower_bound(agent.m_next_state));
-  for (std::size_t i = 0; i < count; ++i) {
-    auto& listed = report.m_runs[(static_cast<std::size_t>(first) + i) % count];
-    const auto& state = agent.m_runs.at(listed.m_task).m_checkpoint;
-    bytes += state.size();
-    if (bytes > limit) {
-      agent.m_next_state = listed.m_task;
-      return;
-    }
-    listed.m_checkpoint = state;
+    if (run.m_stage == RunStage::kStarting) pending.push_back(run.m_order);
   }
+  for (const auto& order : pending) ApplyStop(agent, now, order);
 }
 
-}  // namespace
-
 void Begin(WorkerAgent& agent, const Time now) { ExpectLongestLease(agent, now); }
 
 bool OnHeartbeat(WorkerAgent& agent, const Time now, const WorkerInfo& worker,
@@ -602,56 +294,6 @@
   return reply;
 }
 
-AgentReport MakeReport(WorkerAgent& agent, const Time now) {
-  const bool session_over = HasGrantEnded(agent, now);
-  if (now >= agent.m_granted_until) GiveUpStarts(agent, now);
-  AgentReport report{.m_agent = agent.m_id,
-                     .m_rpc_address = agent.m_rpc_address,
-                     .m_epoch = agent.m_epoch,
-                     .m_number = ++agent.m_reports,
-                     .m_session = session_over ? 0 : agent.m_session,
-                     .m_last_order = agent.m_last_order,
-                     .m_runs_known = agent.m_runs_known,
-                     .m_worker = agent.m_worker,
-                     .m_crashed = agent.m_answered ? agent.m_crashed : std::vector<CrashedRun>{},
-                     .m_ends_complete = agent.m_ends_complete};
-  const auto bytes = AddEnds(agent, report);
-  AddRuns(agent, report, bytes);
-  return report;
-}
-
-void OnReportReply(WorkerAgent& agent, const Time sent, const AgentReportReply& reply) {
-  if (reply.m_epoch < agent.m_epoch) return;
-  if (reply.m_epoch > agent.m_epoch) {
-    agent.m_epoch = reply.m_epoch;
-    agent.m_session = 0;
-  }
-  if (!reply.m_coordinator.empty()) agent.m_coordinator = reply.m_coordinator;
-  if (!reply.m_accepted) return;
-  // Answers a report that was made before the worker changed.
-  if (reply.m_session != 0 && reply.m_session == agent.m_former_session) return;
-  if (reply.m_session != agent.m_session) {
-    // A coordinator that changes adopts the starts that are reported to it.
-    if (agent.m_session != 0) GiveUpStarts(agent, sent);
-    agent.m_session = reply.m_session;
-    agent.m_last_order = 0;
-    agent.m_session_granted = false;
-    agent.m_report_due = true;
-  }
-  if (reply.m_grant > Duration{}) {
-    agent.m_session_granted = true;
-    agent.m_granted_until = std::max(agent.m_granted_until, sent + reply.m_grant);
-  }
-  Adopt(agent.m_pairs, reply.m_pairs, sent);
-  std::erase_if(agent.m_crashed,
-                [&](const CrashedRun& run) { return run.m_born <= reply.m_recorded_crash; });
-  if (reply.m_worker_born != agent.m_worker.m_born) return;
-  agent.m_recorded_end = std::max(agent.m_recorded_end, reply.m_recorded_end);
-  const auto erased = std::erase_if(
-      agent.m_ends, [&](const RunEnded& end) { return end.m_number <= agent.m_recorded_end; });
-  if (erased > 0 && agent.m_ends_left_out) agent.m_report_due = true;
-}
-
 std::optional<HoldCall> NextHold(WorkerAgent& agent, const Time now) {
   if (agent.m_hold_in_flight || agent.m_worker.m_id.IsEmpty() || now < agent.m_next_hold) {
     return std::nullopt;
@@ -722,63 +364,6 @@
   agent.m_next_hold = agent.m_ends.empty() ? now : now + agent.m_options.m_hold_pause;
 }
 
-std::size_t CountStopping(const WorkerAgent& agent) noexcept {
-  const auto stopping =
-      std::count_if(agent.m_runs.begin(), agent.m_runs.end(),
-                    [](const auto& entry) { return entry.second.m_stage == RunStage::kStopping; });
-  return agent.m_unheld_stops.size() + static_cast<std::size_t>(stopping);
-}
-
-std::vector<RunCall> NextCalls(WorkerAgent& agent, const Time now) {
-  std::vector<RunCall> calls;
-  if (agent.m_clock_at == Time{}) return calls;
-  auto room = RoomForCalls(agent);
-  AddStops(agent, now, room.m_stops, calls);
-  // Starts have room of their own: behind the stops of a large job they would wait for seconds, and
-  // the members of a gang that started elsewhere would end alone.
-  for (auto& [task, run] : agent.m_runs) {
-    if (room.m_others == 0) break;
-    if (run.m_in_flight || now < run.m_next_call || run.m_stage == RunStage::kStopping) continue;
-    if (auto call = MakeCall(agent, now, run)) {
-      run.m_in_flight = true;
-      --room.m_others;
-      calls.push_back(std::move(*call));
-    }
-  }
-  return calls;
-}
-
-void OnRunAnswer(WorkerAgent& agent, const Time now, const RunCall& call, const RunAnswer answer) {
-  const bool stops = call.m_kind == RunCallKind::kStop;
-  const auto found = agent.m_runs.find(call.m_order.m_task);
-  const bool held =
-      found != agent.m_runs.end() && found->second.m_order.m_run == call.m_order.m_run;
-  const bool unheld_stop = stops && OnUnheldStopAnswer(agent, now, call, answer);
-  if (!held && !unheld_stop) return;
-  if (answer == RunAnswer::kFenced) RaiseFence(agent);
-  if (unheld_stop) return;
-  LocalRun& run = found->second;
-  run.m_in_flight = false;
-  switch (call.m_kind) {
-    case RunCallKind::kStart:
-      return OnStartAnswer(agent, now, run, answer);
-    case RunCallKind::kStop:
-      return OnStopAnswer(agent, now, run, answer);
-    case RunCallKind::kPace:
-      run.m_next_call = now + agent.m_options.m_call_retry;
-      if (answer == RunAnswer::kNoAnswer) {
-        run.m_pace_uncertain_until = now + agent.m_options.m_pace_late;
-      }
-      if (answer != RunAnswer::kOk) return;
-      if (run.m_paced != call.m_percent) run.m_paced_changed = now;
-      run.m_paced = call.m_percent;
-      run.m_paced_at = now;
-      return;
-  }
-}
-
-void RaiseFence(WorkerAgent& agent) noexcept { agent.m_fence += kFenceStep; }
-
 void Tick(WorkerAgent& agent, const Time now) {
   if (now >= agent.m_granted_until) GiveUpStarts(agent, now);
   if (agent.m_worker.m_reachable || now < agent.m_leased_until) return;
