List saved states in one walk over the runs

A report looked each run up again for its saved state. The walk that begins with the state that comes next is unchanged.

--- a/packages/core/src/fleet/worker_reports.cc
+++ b/packages/core/src/fleet/worker_reports.cc
@@ -37,18 +37,20 @@
                              .m_figure = run.m_figure,
                              .m_order_known = run.m_order_known});
   }
-  const auto count = report.m_runs.size();
-  const auto first =
-      std::distance(agent.m_runs.begin(), agent.m_runs.lower_bound(agent.m_next_state));
-  for (std::size_t i = 0; i < count; ++i) {
-    auto& listed = report.m_runs[(static_cast<std::size_t>(first) + i) % count];
-    const auto& state = agent.m_runs.at(listed.m_task).m_checkpoint;
+  auto run = agent.m_runs.lower_bound(agent.m_next_state);
+  auto listed = report.m_runs.begin() + std::distance(agent.m_runs.begin(), run);
+  for (std::size_t i = 0; i < agent.m_runs.size(); ++i, ++run, ++listed) {
+    if (run == agent.m_runs.end()) {
+      run = agent.m_runs.begin();
+      listed = report.m_runs.begin();
+    }
+    const auto& state = run->second.m_checkpoint;
     bytes += state.size();
     if (bytes > limit) {
-      agent.m_next_state = listed.m_task;
+      agent.m_next_state = run->first;
       return;
     }
-    listed.m_checkpoint = state;
+    listed->m_checkpoint = state;
   }
 }
 
