--- a/packages/daemon/scenarios/log_client_test.cc
+++ b/packages/daemon/scenarios/log_client_test.cc
@@ -41,6 +41,7 @@
     standin->Start();
     const auto log = platform::NewHttpLogService("http://" + address, 10s);
     std::vector<std::future<std::size_t>> reads;
+    reads.reserve(kReaders);
     for (int i = 0; i < kReaders; ++i) {
       reads.push_back(std::async(std::launch::async, [&log] {
         const auto chunk = log->Read("jobs", {.m_from = 1, .m_wait = 10s});
